--- a/Makefile
+++ b/Makefile
@@ -5,14 +5,14 @@
 CSTD = -std=gnu11
 OPT ?= -O2 -g
 SAN ?=
-PKGS = ck libzmq yaml-0.1 libmicrohttpd libcurl glib-2.0 libxxhash jansson msgpack
+PKGS = ck libzmq yaml-0.1 libmicrohttpd libcurl glib-2.0 libxxhash jansson msgpack libuv
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm -lhttp_parser
 CFLAGS_ALL = $(CSTD) $(OPT) $(SAN) -Wall -Wextra -Werror -D_GNU_SOURCE \
-  -Isrc -pthread $(PKG_CFLAGS)
+  -Isrc -Iplatform -pthread $(PKG_CFLAGS)
 LDLIBS_ALL = $(SAN) $(PKG_LIBS) -pthread
 
-SRCS := $(sort $(shell find src -name '*.c'))
+SRCS := $(sort $(shell find src platform -name '*.c'))
 OBJS := $(SRCS:%.c=$(B)/%.o)
 LIB_OBJS := $(filter-out $(B)/src/main.o,$(OBJS))
 
@@ -82,20 +82,20 @@
 
 check: check-unit check-scripts check-asan
 
-FMT_FILES := $(shell find src test bench -name '*.[ch]')
-TIDY_FILES := $(shell find src test bench -name '*.c')
+FMT_FILES := $(shell find src platform test bench -name '*.[ch]')
+TIDY_FILES := $(shell find src platform test bench -name '*.c')
 
 lint-format:
 	clang-format --dry-run -Werror $(FMT_FILES)
 
 lint-tidy:
 	printf '%s\n' $(TIDY_FILES) | xargs -P 8 -n 4 sh -c \
-	  'clang-tidy --quiet "$$@" -- $(CSTD) -D_GNU_SOURCE -Isrc -Itest $(PKG_CFLAGS) 2>/dev/null' tidy
+	  'clang-tidy --quiet "$$@" -- $(CSTD) -D_GNU_SOURCE -Isrc -Iplatform -Itest $(PKG_CFLAGS) 2>/dev/null' tidy
 
 lint-cppcheck:
 	cppcheck --quiet --std=c11 --enable=warning,portability \
 	  --inline-suppr --error-exitcode=1 -j 8 -Isrc -Itest -D_GNU_SOURCE \
-	  src test bench
+	  -Iplatform src platform test bench
 
 lint: lint-format lint-tidy lint-cppcheck
 
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,6 +1,11 @@
 #include "base/log.h"
 
+#include "base/clock.h"
+#include "base/counter.h"
+#include <ck_pr.h>
+#include <fcntl.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <sys/time.h>
 #include <time.h>
@@ -9,6 +14,9 @@
 enum
 {
   LINE_BYTES = 1024,
+  /* Lines of one event in one second: some hundred requests fail a second in
+     the worst overload of one node, and a line costs some 20 us.  */
+  LINES_A_SECOND = 50,
   STAMP_BYTES = 32
 };
 
@@ -31,6 +39,17 @@
     = { "debug", "info", "warning", "error" };
 
 static enum log_level threshold = LOG_INFO;
+static int output = STDERR_FILENO;
+
+/* How often an event was written in the present second.  */
+struct rate
+{
+  uint32_t second;
+  uint32_t lines;
+};
+
+static struct rate rates[sizeof catalogue / sizeof catalogue[0]];
+static uint32_t dropped;
 
 static const struct event_entry *
 find_entry (enum event ev)
@@ -62,6 +81,63 @@
   return (size_t)written < room ? (size_t)written : room - 1;
 }
 
+/* Whether one more line of ENTRY may be written.  Threads may race: the bound
+   is then passed by a line or two.  */
+static bool
+within_rate (const struct event_entry *entry)
+{
+  struct rate *r = &rates[entry - catalogue];
+  uint32_t second = (uint32_t)(clock_now_ns () / NS_PER_S);
+  if (ck_pr_load_32 (&r->second) != second)
+    {
+      ck_pr_store_32 (&r->second, second);
+      ck_pr_store_32 (&r->lines, 0);
+    }
+  return ck_pr_faa_32 (&r->lines, 1) < LINES_A_SECOND;
+}
+
+static void
+count_dropped (void)
+{
+  ck_pr_inc_32 (&dropped);
+  counter_add (COUNTER_log_lines_dropped_total, 1);
+}
+
+/* Standard output does not block: a line that its reader does not take is
+   dropped.  A pipe takes a line of this size whole or not at all.  */
+static void
+write_line (const char *line, size_t length)
+{
+  if (write (output, line, length) != (ssize_t)length
+      && output == STDOUT_FILENO)
+    count_dropped ();
+}
+
+static void
+tell_dropped (void)
+{
+  uint32_t lines = ck_pr_fas_32 (&dropped, 0);
+  char line[LINE_BYTES];
+  char stamp[STAMP_BYTES];
+  if (lines == 0)
+    return;
+  format_stamp (stamp);
+  int length = snprintf (line, sizeof line,
+                         "%s warning %d LINES_DROPPED text=\"log lines were "
+                         "dropped\" lines=%u\n",
+                         stamp, (int)EV_LINES_DROPPED, lines);
+  write_line (line, (size_t)length);
+}
+
+void
+log_to_output (void)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  output = STDOUT_FILENO;
+}
+
 void
 log_set_level (enum log_level level)
 {
@@ -80,6 +156,11 @@
   const struct event_entry *entry = find_entry (ev);
   if (entry == NULL || entry->level < threshold)
     return;
+  if (output == STDOUT_FILENO && !within_rate (entry))
+    {
+      count_dropped ();
+      return;
+    }
   char line[LINE_BYTES];
   char stamp[STAMP_BYTES];
   size_t room = sizeof line - 1;
@@ -93,6 +174,7 @@
   used += clamp (vsnprintf (line + used, room - used, fmt, args), room - used);
   va_end (args);
   line[used++] = '\n';
-  ssize_t ignored = write (STDERR_FILENO, line, used);
-  (void)ignored;
+  if (output == STDOUT_FILENO)
+    tell_dropped ();
+  write_line (line, used);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,5 @@
-/* The logger: numbered events, one line each, on standard error.  */
+/* The logger: numbered events, one line each, on standard error or
+   standard output.  */
 
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
@@ -21,6 +22,11 @@
 /* Drop events below LEVEL from now on.  The first level is LOG_INFO.  */
 void log_set_level (enum log_level level);
 
+/* Write to standard output from now on, as fast as its reader takes lines and
+   never more than a number a second of each event: lines beyond that are
+   dropped and counted.  */
+void log_to_output (void);
+
 /* The name of LEVEL in lower case, as settings write it.  */
 const char *log_level_name (enum log_level level);
 
--- a/src/main.c
+++ b/src/main.c
@@ -2,6 +2,8 @@
 
 #include "ask/ask.h"
 #include "load/load.h"
+#include "mesh/mesh.h"
+#include "platform.h"
 #include "report/report.h"
 #include "route/node.h"
 #include "settings/catalogue.h"
@@ -34,12 +36,32 @@
   return EXIT_SUCCESS;
 }
 
+static int
+mesh_main (int argc, char **argv)
+{
+  struct settings settings;
+  char *findings;
+  if (argc != 2)
+    {
+      fprintf (stderr, "Usage: crocusbend mesh SETTINGS.yaml\n");
+      return EXIT_USAGE;
+    }
+  if (settings_load (&settings, argv[1], &findings) != STATUS_OK)
+    {
+      fputs (findings, stderr);
+      free (findings);
+      return EXIT_FAILURE;
+    }
+  return mesh_run (&settings, platform_dialect ());
+}
+
 static const struct command commands[] = {
   { "ask", ask_main, "ask a node or command it" },
   { "catalogue", catalogue_main, NULL },
   { "check", check_main, "check settings files" },
   { "node", node_main, "run the process beside a target" },
   { "load", load_main, "drive a service and print rates and outcomes" },
+  { "mesh", mesh_main, "run the process beside a target of a mesh" },
   { "report", report_main, "report how fast error budgets burn" },
   { "version", version_main, "print the version" },
 };
--- /dev/null
+++ b/src/mesh/balance.c
@@ -0,0 +1,138 @@
+#include "mesh/balance.h"
+
+#include "base/clock.h"
+#include <glib.h>
+#include <math.h>
+
+/* Expected service of a kind that was never seen.  */
+#define FIRST_SERVICE_NS (100 * NS_PER_MS)
+/* Weight of a new answer in a kind's mean over all targets, and in one
+   target's pace.  A target that turns slow is seen after some five answers. */
+#define KIND_WEIGHT (1.0 / 64)
+#define PACE_WEIGHT (1.0 / 6)
+#define PACE_LEAST 0.2
+#define PACE_MOST 8.0
+/* Part of the wanted time that an answer from the own zone may be expected to
+   take: service times spread by a third around their mean.  */
+#define NEAR_SHARE 0.6
+/* Part of the service time that a full target costs over an empty one: some
+   slow down when they are nearly full, and room is kept for what comes.  */
+#define FULL_COST 0.4
+/* A target that is cold runs about twice as long.  */
+#define COLD_FACTOR 2.0
+#define PERCENT 100.0
+/* A target that fails all is still worth this part of a sound one.  */
+#define SOUND_LEAST 0.05
+
+struct paces
+{
+  GHashTable *kinds;   /* mean service time, ns, by kind */
+  GHashTable *targets; /* factor over the means, by name */
+};
+
+struct paces *
+paces_new (void)
+{
+  struct paces *p = g_new0 (struct paces, 1);
+  p->kinds = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  p->targets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return p;
+}
+
+void
+paces_free (struct paces *p)
+{
+  if (p == NULL)
+    return;
+  g_hash_table_destroy (p->kinds);
+  g_hash_table_destroy (p->targets);
+  g_free (p);
+}
+
+void
+paces_learn (struct paces *p, const char *target, uint32_t kind,
+             int64_t service_ns)
+{
+  gpointer key = GUINT_TO_POINTER (kind);
+  double *mean = g_hash_table_lookup (p->kinds, key);
+  double *pace = g_hash_table_lookup (p->targets, target);
+  double took_ns = (double)service_ns;
+  if (mean == NULL)
+    {
+      mean = g_new0 (double, 1);
+      *mean = took_ns;
+      g_hash_table_insert (p->kinds, key, mean);
+    }
+  if (pace == NULL)
+    {
+      pace = g_new0 (double, 1);
+      *pace = 1;
+      g_hash_table_insert (p->targets, g_strdup (target), pace);
+    }
+  double ratio = fmin (PACE_MOST, fmax (PACE_LEAST, took_ns / *mean));
+  *pace += (ratio - *pace) * PACE_WEIGHT;
+  *mean += (took_ns - *mean) * KIND_WEIGHT;
+}
+
+void
+paces_forget (struct paces *p, const char *target)
+{
+  g_hash_table_remove (p->targets, target);
+}
+
+int64_t
+paces_expect (const struct paces *p, const char *target, uint32_t kind)
+{
+  const double *mean = g_hash_table_lookup (p->kinds, GUINT_TO_POINTER (kind));
+  const double *pace = g_hash_table_lookup (p->targets, target);
+  double expected_ns = mean == NULL ? (double)FIRST_SERVICE_NS : *mean;
+  return (int64_t)(expected_ns * (pace == NULL ? 1 : *pace));
+}
+
+int64_t
+balance_expect (const struct paces *p, const struct candidate *c,
+                uint32_t kind)
+{
+  double service_ns = (double)paces_expect (p, c->name, kind);
+  uint32_t slots = c->load.slots > 0 ? c->load.slots : 1;
+  uint32_t busy = c->load.running + c->load.waiting + c->sent_since;
+  double wait_ns = (double)c->load.wait_ms * NS_PER_MS;
+  if (c->load.cold_left_ms > 0)
+    service_ns *= COLD_FACTOR;
+  if (busy >= slots)
+    wait_ns += service_ns * (c->sent_since + 1) / slots;
+  double fullness = fmin (1, (double)busy / slots);
+  double sound = fmax (SOUND_LEAST, 1 - c->load.failing_pct / PERCENT);
+  return (int64_t)((wait_ns + service_ns * (1 + FULL_COST * fullness))
+                   / sound);
+}
+
+int
+balance_pick (const struct paces *p, const struct candidate *list,
+              unsigned count, uint32_t kind, int64_t wanted_ns)
+{
+  int best = -1;
+  int near = -1;
+  int64_t best_ns = INT64_MAX;
+  int64_t near_ns = INT64_MAX;
+  for (unsigned i = 0; i < count; i++)
+    {
+      const struct candidate *c = &list[i];
+      if (!c->load.open || c->tried)
+        continue;
+      int64_t expected_ns = balance_expect (p, c, kind);
+      if (expected_ns < best_ns)
+        {
+          best = (int)i;
+          best_ns = expected_ns;
+        }
+      if (c->same_zone && expected_ns < near_ns)
+        {
+          near = (int)i;
+          near_ns = expected_ns;
+        }
+    }
+  if (near >= 0 && (double)near_ns <= (double)wanted_ns * NEAR_SHARE)
+    return near;
+  return best;
+}
--- /dev/null
+++ b/src/mesh/frame.c
@@ -0,0 +1,423 @@
+#include "mesh/frame.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+/* Writing.  */
+
+struct writer
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+};
+
+static void
+begin (struct writer *w, enum frame_kind kind, size_t items)
+{
+  msgpack_sbuffer_init (&w->buffer);
+  msgpack_packer_init (&w->packer, &w->buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&w->packer, items + 1);
+  msgpack_pack_uint8 (&w->packer, (uint8_t)kind);
+}
+
+static GString *
+end (struct writer *w)
+{
+  uint32_t length = GUINT32_TO_BE ((uint32_t)w->buffer.size);
+  GString *out = g_string_sized_new (w->buffer.size + FRAME_HEADER_BYTES);
+  g_string_append_len (out, (const char *)&length, FRAME_HEADER_BYTES);
+  g_string_append_len (out, w->buffer.data, (gssize)w->buffer.size);
+  msgpack_sbuffer_destroy (&w->buffer);
+  return out;
+}
+
+static void
+put_bytes (struct writer *w, const char *data, size_t length)
+{
+  msgpack_pack_bin_with_body (&w->packer, data, length);
+}
+
+static void
+put_text (struct writer *w, const char *text)
+{
+  put_bytes (w, text, strlen (text));
+}
+
+static void
+put_int (struct writer *w, int64_t value)
+{
+  msgpack_pack_int64 (&w->packer, value);
+}
+
+static void
+put_uint (struct writer *w, uint64_t value)
+{
+  msgpack_pack_uint64 (&w->packer, value);
+}
+
+enum
+{
+  NODE_ITEMS = 6,
+  STATE_ITEMS = 10,
+  REQUEST_ITEMS = 11,
+  RESULT_ITEMS = 10,
+  HANDOVER_ITEMS = 3
+};
+
+static void
+put_node (struct writer *w, const struct frame_node *n)
+{
+  put_text (w, n->name);
+  put_text (w, n->service);
+  put_text (w, n->zone);
+  put_text (w, n->address.host);
+  put_uint (w, n->address.port);
+  put_uint (w, n->run);
+}
+
+static void
+put_state (struct writer *w, const struct frame_state *s)
+{
+  put_int (w, s->now_ns);
+  put_uint (w, s->load.open);
+  put_uint (w, s->load.slots);
+  put_uint (w, s->load.running);
+  put_uint (w, s->load.waiting);
+  put_uint (w, s->load.wait_ms);
+  put_uint (w, s->load.failing_pct);
+  put_uint (w, s->load.cold_left_ms);
+  put_uint (w, s->routes_version);
+  put_uint (w, s->cell_serial);
+}
+
+GString *
+frame_hello (const struct frame_node *node)
+{
+  struct writer w;
+  begin (&w, FRAME_HELLO, NODE_ITEMS);
+  put_node (&w, node);
+  return end (&w);
+}
+
+GString *
+frame_state (const struct frame_node *node, const struct frame_state *state)
+{
+  struct writer w;
+  begin (&w, FRAME_STATE, STATE_ITEMS + (node == NULL ? 0 : NODE_ITEMS));
+  put_state (&w, state);
+  if (node != NULL)
+    put_node (&w, node);
+  return end (&w);
+}
+
+GString *
+frame_request (uint64_t number, const struct attempt_request *r,
+               int64_t clock_ahead_ns)
+{
+  struct writer w;
+  begin (&w, FRAME_REQUEST, REQUEST_ITEMS);
+  put_uint (&w, number);
+  put_text (&w, r->id);
+  put_uint (&w, r->kind);
+  put_uint (&w, r->lookup);
+  put_uint (&w, r->idempotent);
+  put_uint (&w, r->priority);
+  put_int (&w, r->wanted_ns + clock_ahead_ns);
+  put_int (&w, r->deadline_ns + clock_ahead_ns);
+  put_int (&w, r->key);
+  put_bytes (&w, r->head->str, r->head->len);
+  put_bytes (&w, r->body->str, r->body->len);
+  return end (&w);
+}
+
+GString *
+frame_cancel (uint64_t number)
+{
+  struct writer w;
+  begin (&w, FRAME_CANCEL, 1);
+  put_uint (&w, number);
+  return end (&w);
+}
+
+GString *
+frame_result (uint64_t number, const struct attempt_result *r,
+              const struct frame_state *state)
+{
+  struct writer w;
+  begin (&w, FRAME_RESULT, RESULT_ITEMS + STATE_ITEMS);
+  put_state (&w, state);
+  put_uint (&w, number);
+  put_uint (&w, r->outcome);
+  put_uint (&w, r->reason);
+  put_uint (&w, r->arrived);
+  put_uint (&w, r->failure);
+  put_int (&w, r->status);
+  put_bytes (&w, r->head == NULL ? "" : r->head, r->head_length);
+  put_bytes (&w, r->body == NULL ? "" : r->body, r->body_length);
+  put_int (&w, r->retry_after_ns);
+  put_int (&w, r->service_ns);
+  return end (&w);
+}
+
+GString *
+frame_fetch (enum frame_topic topic)
+{
+  struct writer w;
+  begin (&w, FRAME_FETCH, 1);
+  put_uint (&w, topic);
+  return end (&w);
+}
+
+GString *
+frame_document (enum frame_topic topic, int64_t revision, const char *text,
+                size_t length)
+{
+  struct writer w;
+  begin (&w, FRAME_DOCUMENT, 3);
+  put_uint (&w, topic);
+  put_int (&w, revision);
+  put_bytes (&w, text, length);
+  return end (&w);
+}
+
+GString *
+frame_handover (const struct frame_handover *h)
+{
+  struct writer w;
+  begin (&w, FRAME_HANDOVER, HANDOVER_ITEMS);
+  put_uint (&w, h->from);
+  put_uint (&w, h->to);
+  put_text (&w, h->token);
+  return end (&w);
+}
+
+/* Reading.  */
+
+/* The items of a frame, taken one after another.  A wrong type or a missing
+   item clears GOOD and reads as zero.  */
+struct reader
+{
+  const msgpack_object *at;
+  const msgpack_object *end;
+  bool good;
+};
+
+static const msgpack_object *
+take (struct reader *r)
+{
+  static const msgpack_object nothing = { .type = MSGPACK_OBJECT_NIL };
+  if (r->at < r->end)
+    return r->at++;
+  r->good = false;
+  return &nothing;
+}
+
+static uint64_t
+take_uint (struct reader *r)
+{
+  const msgpack_object *o = take (r);
+  if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return o->via.u64;
+  r->good = false;
+  return 0;
+}
+
+static uint32_t
+take_u32 (struct reader *r)
+{
+  uint64_t value = take_uint (r);
+  if (value > UINT32_MAX)
+    r->good = false;
+  return (uint32_t)value;
+}
+
+static int64_t
+take_int (struct reader *r)
+{
+  const msgpack_object *o = take (r);
+  if (o->type == MSGPACK_OBJECT_POSITIVE_INTEGER && o->via.u64 <= INT64_MAX)
+    return (int64_t)o->via.u64;
+  if (o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    return o->via.i64;
+  r->good = false;
+  return 0;
+}
+
+static const char *
+take_bytes (struct reader *r, size_t *length)
+{
+  const msgpack_object *o = take (r);
+  *length = 0;
+  if (o->type != MSGPACK_OBJECT_BIN)
+    {
+      r->good = false;
+      return "";
+    }
+  *length = o->via.bin.size;
+  return o->via.bin.ptr;
+}
+
+static void
+take_text (struct reader *r, char *out, size_t room)
+{
+  size_t length;
+  const char *bytes = take_bytes (r, &length);
+  if (length >= room || memchr (bytes, '\0', length) != NULL)
+    {
+      r->good = false;
+      length = 0;
+    }
+  memcpy (out, bytes, length);
+  out[length] = '\0';
+}
+
+static void
+take_node (struct reader *r, struct frame_node *n)
+{
+  take_text (r, n->name, sizeof n->name);
+  take_text (r, n->service, sizeof n->service);
+  take_text (r, n->zone, sizeof n->zone);
+  take_text (r, n->address.host, sizeof n->address.host);
+  uint32_t port = take_u32 (r);
+  n->run = take_uint (r);
+  if (port == 0 || port > UINT16_MAX || n->name[0] == '\0')
+    r->good = false;
+  n->address.port = (uint16_t)port;
+}
+
+static void
+take_state (struct reader *r, struct frame_state *s)
+{
+  s->now_ns = take_int (r);
+  s->load.open = take_uint (r) != 0;
+  s->load.slots = take_u32 (r);
+  s->load.running = take_u32 (r);
+  s->load.waiting = take_u32 (r);
+  s->load.wait_ms = take_u32 (r);
+  s->load.failing_pct = take_u32 (r);
+  s->load.cold_left_ms = take_u32 (r);
+  s->routes_version = take_uint (r);
+  s->cell_serial = take_u32 (r);
+}
+
+static GString *
+take_string (struct reader *r)
+{
+  size_t length;
+  const char *bytes = take_bytes (r, &length);
+  return g_string_new_len (bytes, (gssize)length);
+}
+
+static void
+take_request (struct reader *r, struct frame *f)
+{
+  struct attempt_request *q = &f->request;
+  f->number = take_uint (r);
+  take_text (r, q->id, sizeof q->id);
+  q->kind = take_u32 (r);
+  q->lookup = take_uint (r) != 0;
+  q->idempotent = take_uint (r) != 0;
+  q->priority = take_u32 (r);
+  q->wanted_ns = take_int (r);
+  q->deadline_ns = take_int (r);
+  q->key = (int32_t)take_int (r);
+  q->head = take_string (r);
+  q->body = take_string (r);
+}
+
+static void
+take_result (struct reader *r, struct frame *f)
+{
+  struct attempt_result *a = &f->result;
+  take_state (r, &f->state);
+  f->number = take_uint (r);
+  uint32_t outcome = take_u32 (r);
+  uint32_t reason = take_u32 (r);
+  if (outcome >= OUTCOME_COUNT || reason >= REASON_COUNT)
+    r->good = false;
+  a->outcome = (enum outcome)outcome;
+  a->reason = (enum reason)reason;
+  a->arrived = take_uint (r) != 0;
+  a->failure = take_uint (r) != 0;
+  a->status = (int)take_int (r);
+  a->head = take_bytes (r, &a->head_length);
+  a->body = take_bytes (r, &a->body_length);
+  a->retry_after_ns = take_int (r);
+  a->service_ns = take_int (r);
+}
+
+static void
+take_topic (struct reader *r, struct frame *f)
+{
+  uint32_t topic = take_u32 (r);
+  if (topic > FRAME_CELL)
+    r->good = false;
+  f->topic = (enum frame_topic)topic;
+}
+
+static void
+take_frame (struct reader *r, struct frame *f)
+{
+  switch (f->kind)
+    {
+    case FRAME_HELLO:
+      take_node (r, &f->node);
+      break;
+    case FRAME_STATE:
+      take_state (r, &f->state);
+      f->has_node = r->at < r->end;
+      if (f->has_node)
+        take_node (r, &f->node);
+      break;
+    case FRAME_REQUEST:
+      take_request (r, f);
+      break;
+    case FRAME_CANCEL:
+      f->number = take_uint (r);
+      break;
+    case FRAME_RESULT:
+      take_result (r, f);
+      break;
+    case FRAME_FETCH:
+      take_topic (r, f);
+      break;
+    case FRAME_DOCUMENT:
+      take_topic (r, f);
+      f->revision = take_int (r);
+      f->text = take_bytes (r, &f->length);
+      break;
+    default:
+      f->handover.from = take_u32 (r);
+      f->handover.to = take_u32 (r);
+      take_text (r, f->handover.token, sizeof f->handover.token);
+      break;
+    }
+}
+
+enum status
+frame_read (const char *data, size_t length, struct frame *f)
+{
+  msgpack_unpacked unpacked;
+  struct reader r = { .good = true };
+  memset (f, 0, sizeof *f);
+  msgpack_unpacked_init (&unpacked);
+  size_t offset = 0;
+  bool good = msgpack_unpack_next (&unpacked, data, length, &offset)
+                  == MSGPACK_UNPACK_SUCCESS
+              && unpacked.data.type == MSGPACK_OBJECT_ARRAY;
+  if (good)
+    {
+      r.at = unpacked.data.via.array.ptr;
+      r.end = r.at + unpacked.data.via.array.size;
+      uint32_t kind = take_u32 (&r);
+      f->kind = (enum frame_kind)kind;
+      if (kind < FRAME_KINDS)
+        take_frame (&r, f);
+      good = kind < FRAME_KINDS && r.good;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  if (good)
+    return STATUS_OK;
+  attempt_request_clear (&f->request);
+  return status_set (STATUS_INVALID, "malformed frame of %zu bytes", length);
+}
--- /dev/null
+++ b/src/mesh/gate.h
@@ -0,0 +1,66 @@
+/* The gate in front of this node's target: only it sends to the target.
+
+   What it turns away did not reach the target.  It runs on the loop's
+   thread.  */
+
+#ifndef MESH_GATE_H
+#define MESH_GATE_H
+
+#include "mesh/attempt.h"
+#include "mesh/dialect.h"
+#include "mesh/target_state.h"
+#include <uv.h>
+
+struct gate;
+struct gate_job;
+
+/* What other nodes hear of the target.  */
+struct gate_load
+{
+  bool open; /* takes requests */
+  uint32_t slots;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t wait_ms;      /* expected wait of a request of middle priority */
+  uint32_t failing_pct;  /* of the last sends that the target failed or shed */
+  uint32_t cold_left_ms; /* it is slow that much longer */
+};
+
+struct gate_hooks
+{
+  void *arg;
+  /* Whether the target holds KEY now: REASON_NONE, or why not.  */
+  enum reason (*may_serve) (void *arg, int32_t key, int64_t now_ns);
+  /* The target says that it is another one, or does not hold the key.  */
+  void (*refused_key) (void *arg, int32_t key);
+  /* The target refuses connections.  */
+  void (*lost_target) (void *arg);
+};
+
+struct gate *gate_open (uv_loop_t *loop, const struct dialect *dialect,
+                        const struct settings *settings,
+                        const struct gate_hooks *hooks);
+
+/* Follow VIEW: its id, slots and phase.  Requests that wait are turned away
+   when the target leaves.  NEW_RUN drops the connections to an earlier run. */
+void gate_follow (struct gate *g, const struct target_view *view, bool new_run,
+                  int64_t now_ns);
+
+/* Hand REQUEST, which the gate empties, to the target.  DONE is called once,
+   after this returns, unless the job is cancelled.  */
+struct gate_job *gate_send (struct gate *g, struct attempt_request *request,
+                            attempt_done *done, void *arg, int64_t now_ns);
+
+/* The caller of JOB went away.  What waits is dropped, an idempotent run is
+   cut off, any other run goes on unheard.  */
+void gate_abandon (struct gate_job *job);
+
+struct gate_load gate_read_load (const struct gate *g, int64_t now_ns);
+
+/* Requests of this node's target that run or wait.  */
+uint32_t gate_busy (const struct gate *g);
+
+/* The client of the target, for other calls than requests.  */
+struct http_client *gate_client (struct gate *g);
+
+#endif
--- /dev/null
+++ b/src/mesh/holdings.h
@@ -0,0 +1,78 @@
+/* Which numeric keys the target holds by grants, and what is due.
+
+   A grant counts at the target from its arrival, on a clock that may run 2%
+   slow; one that got no answer may be applied seconds later.  So for each key
+   two times are kept: until when the target surely holds it, which bounds what
+   is sent to it, and until when it may hold it, which bounds when another
+   target may get it.
+
+   Pure: calls of the target are the caller's.  Time is an argument.  */
+
+#ifndef MESH_HOLDINGS_H
+#define MESH_HOLDINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct holdings;
+
+/* A run of neighbouring keys.  */
+struct key_run
+{
+  uint32_t from;
+  uint32_t to; /* inclusive */
+};
+
+/* Nothing held of COUNT keys.  */
+struct holdings *holdings_new (uint32_t count);
+void holdings_free (struct holdings *h);
+
+/* KEY is this node's, or not, from now on.  */
+void holdings_own (struct holdings *h, uint32_t key, bool mine);
+
+/* KEY is being handed over: it is not served nor granted.  */
+void holdings_close (struct holdings *h, uint32_t key, bool closed);
+
+/* KEY's last holder is about to hand it over: no grant before AT_NS.  */
+void holdings_wait (struct holdings *h, uint32_t key, int64_t at_ns);
+
+/* Whether the target surely holds KEY, which is open.  */
+bool holdings_serve (const struct holdings *h, uint32_t key, int64_t now_ns);
+bool holdings_is_mine (const struct holdings *h, uint32_t key);
+bool holdings_is_closed (const struct holdings *h, uint32_t key);
+
+/* The first run at or after FROM of own open keys that no call is under way
+   for, if one of them is held for less than LEAST_NS.  False: none.  */
+bool holdings_due (const struct holdings *h, uint32_t from, int64_t now_ns,
+                   int64_t least_ns, struct key_run *run);
+
+/* The first run at or after FROM of closed keys that the target may hold, and
+   no call is under way for.  */
+bool holdings_to_release (const struct holdings *h, uint32_t from,
+                          int64_t now_ns, struct key_run *run);
+
+/* A call for RUN was sent: a grant for HOLD_NS, or a release with 0.  */
+void holdings_sent (struct holdings *h, const struct key_run *run);
+
+/* That grant was answered: it was sent at SENT_NS.  */
+void holdings_granted (struct holdings *h, const struct key_run *run,
+                       int64_t sent_ns, int64_t hold_ns, int64_t now_ns);
+
+/* The grant got no answer: it may still be applied.  */
+void holdings_doubt (struct holdings *h, const struct key_run *run,
+                     int64_t hold_ns, int64_t now_ns);
+
+/* The target refused the grant.  */
+void holdings_refused (struct holdings *h, const struct key_run *run);
+
+/* The release of RUN was answered, or not.  */
+void holdings_released (struct holdings *h, const struct key_run *run,
+                        bool answered);
+
+/* Until when the target may hold one of the closed keys; 0: none.  */
+int64_t holdings_closed_until (const struct holdings *h);
+
+/* The target started anew: it holds nothing.  */
+void holdings_forget (struct holdings *h);
+
+#endif
--- /dev/null
+++ b/src/mesh/keys.c
@@ -0,0 +1,768 @@
+#include "mesh/keys.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "mesh/holdings.h"
+#include "own/agent.h"
+#include "settings/address.h"
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Slots of a new cell: one slot is 128 of 65,536 keys, few enough to part
+   busy neighbours and to keep the document small.  */
+#define CELL_SLOTS 512
+/* The lease outlives a grant by this: the way to the target on the same
+   instance, and the reading of clocks.  */
+#define GRANT_MARGIN_NS (100 * NS_PER_MS)
+/* No grant is made that is shorter: it would lapse before the next one.  */
+#define GRANT_LEAST_NS (150 * NS_PER_MS)
+/* Longest wait for the target's answer to a grant: it answers in a
+   moment or is not there.  */
+#define GRANT_TIMEOUT_MS 300
+/* Pause after a grant that failed.  */
+#define GRANT_AGAIN_NS (100 * NS_PER_MS)
+/* A release is answered when what runs has ended.  */
+#define RELEASE_TIMEOUT_MS 2000
+/* How long a move may wait for what runs.  */
+#define MOVE_LIMIT_NS (2 * NS_PER_S)
+/* How long new keys wait for what their last holder hands over: some round
+   trips between nodes.  */
+#define HANDOVER_WAIT_NS (60 * NS_PER_MS)
+/* A handover that was not used by then is of no use.  */
+#define HANDOVER_KEEP_NS (10 * NS_PER_S)
+/* Longest sleep: lets a lease that was renewed extend grants in time.  */
+#define ROUND_MS 200
+/* Weight of a new look in the load that the agent is told.  */
+#define LOAD_WEIGHT 0.3
+
+struct token
+{
+  struct frame_handover handover;
+  int64_t until_ns;
+  bool given; /* by this node, to be passed to the new owner */
+};
+
+struct keys
+{
+  struct keys_parts parts;
+  struct agent_env env;
+  struct agent *agent; /* NULL: not a member */
+  uint32_t generation; /* of the agent, in store jobs */
+  struct holdings *holdings;
+  GArray *tokens; /* struct token */
+  uv_udp_t udp;
+  uv_timer_t timer;
+  uint32_t slots;
+  int64_t lease_ns;
+  uint32_t token; /* the highest fencing token among own keys */
+  uint32_t move;  /* the move under way, 0: none */
+  int64_t move_until_ns;
+  bool move_reported;
+  int64_t grant_after_ns;
+  uint32_t serial;
+  int64_t revision;
+  char *document;
+  size_t document_length;
+  double load;
+  bool leaving;
+  bool left;
+};
+
+struct keys_job
+{
+  struct store_job job; /* first: it is freed by store_job_free */
+  uint32_t generation;
+  bool document; /* a document for the agent, not the answer to its read */
+};
+
+/* A grant or release under way.  */
+struct order
+{
+  struct keys *keys;
+  struct key_run run;
+  int64_t sent_ns;
+  int64_t hold_ns; /* 0: a release */
+  uint32_t token;
+};
+
+static void work (struct keys *k);
+
+static struct keys *
+from_env (struct agent_env *env)
+{
+  return (struct keys *)((char *)env - offsetof (struct keys, env));
+}
+
+/* Grants and releases.  */
+
+static void
+log_order (const struct order *o, const char *outcome)
+{
+  log_event (o->hold_ns == 0 ? EV_KEYS_RELEASED : EV_KEYS_GRANTED,
+             "from=%u to=%u token=%u hold_ms=%d outcome=%s", o->run.from,
+             o->run.to, o->token, (int)(o->hold_ns / NS_PER_MS), outcome);
+}
+
+static void
+keep_token (struct keys *k, const struct frame_handover *h, bool given)
+{
+  struct token t = { *h, clock_now_ns () + HANDOVER_KEEP_NS, given };
+  g_array_append_val (k->tokens, t);
+}
+
+static void
+on_granted (void *arg, const struct http_reply *reply)
+{
+  struct order *o = arg;
+  struct keys *k = o->keys;
+  int64_t now_ns = clock_now_ns ();
+  if (reply->result == HTTP_ANSWERED && reply->status == 200)
+    holdings_granted (k->holdings, &o->run, o->sent_ns, o->hold_ns, now_ns);
+  else if (reply->result == HTTP_ANSWERED || reply->result == HTTP_NOT_SENT)
+    {
+      log_order (o, reply->result == HTTP_NOT_SENT ? "not-sent" : "refused");
+      holdings_refused (k->holdings, &o->run);
+      k->grant_after_ns = now_ns + GRANT_AGAIN_NS;
+    }
+  else
+    {
+      log_order (o, "unknown");
+      holdings_doubt (k->holdings, &o->run, o->hold_ns, now_ns);
+      k->grant_after_ns = now_ns + GRANT_AGAIN_NS;
+    }
+  g_free (o);
+  work (k);
+}
+
+static void
+on_released (void *arg, const struct http_reply *reply)
+{
+  struct order *o = arg;
+  struct keys *k = o->keys;
+  bool answered = reply->result == HTTP_ANSWERED && reply->status == 200;
+  holdings_released (k->holdings, &o->run, answered);
+  const char *name = k->parts.dialect->headers[HEADER_HANDOVER];
+  const char *value = answered ? headers_find (reply->headers, name) : NULL;
+  if (value != NULL)
+    {
+      struct frame_handover h = { .from = o->run.from, .to = o->run.to };
+      g_strlcpy (h.token, value, sizeof h.token);
+      keep_token (k, &h, true);
+    }
+  log_order (o, answered ? (value != NULL ? "handover" : "cold") : "unknown");
+  g_free (o);
+  work (k);
+}
+
+static void
+send_order (struct keys *k, const struct key_run *run, int64_t hold_ns,
+            const char *handover, int64_t now_ns)
+{
+  struct order *o = g_new0 (struct order, 1);
+  const struct dialect *d = k->parts.dialect;
+  *o = (struct order){ k, *run, now_ns, hold_ns, k->token };
+  struct key_order order = {
+    .from = run->from,
+    .to = run->to,
+    .token = k->token,
+    .hold_ms = (uint32_t)(hold_ns / NS_PER_MS),
+    .handover = handover,
+  };
+  struct http_call_options options = {
+    .done = hold_ns > 0 ? on_granted : on_released,
+    .arg = o,
+    .timeout_ms = hold_ns > 0 ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS,
+  };
+  holdings_sent (k->holdings, run);
+  counter_add (hold_ns > 0 ? COUNTER_grants_total : COUNTER_releases_total, 1);
+  http_call (k->parts.target,
+             hold_ns > 0 ? d->write_grant (&order) : d->write_release (&order),
+             &options);
+}
+
+/* How long a grant that is made now may last; 0: not at all.  */
+static int64_t
+hold_now_ns (const struct keys *k, int64_t now_ns)
+{
+  int64_t term_ns = k->parts.settings->lease_term_ms * NS_PER_MS;
+  int64_t left_ns = k->lease_ns <= now_ns            ? 0
+                    : k->lease_ns > now_ns + term_ns ? term_ns
+                                                     : k->lease_ns - now_ns;
+  int64_t most_ns = k->parts.settings->hold_max_ms * NS_PER_MS;
+  int64_t hold_ns = (int64_t)((double)(left_ns - GRANT_MARGIN_NS) / 1.02);
+  if (hold_ns > most_ns)
+    hold_ns = most_ns;
+  return hold_ns < GRANT_LEAST_NS ? 0 : hold_ns;
+}
+
+/* A received handover that lies within RUN, cut so that RUN is its range, or
+   ends before it.  NULL: none.  */
+static struct token *
+cut_at_token (struct keys *k, struct key_run *run, int64_t now_ns)
+{
+  for (guint i = 0; i < k->tokens->len; i++)
+    {
+      struct token *t = &g_array_index (k->tokens, struct token, i);
+      const struct frame_handover *h = &t->handover;
+      if (t->given || now_ns > t->until_ns || h->to < run->from
+          || h->from > run->to)
+        continue;
+      if (h->from > run->from)
+        {
+          run->to = h->from - 1;
+          return NULL;
+        }
+      if (h->to < run->to)
+        run->to = h->to;
+      return t;
+    }
+  return NULL;
+}
+
+static void
+grant_due (struct keys *k, int64_t now_ns)
+{
+  struct key_run run;
+  int64_t hold_ns = hold_now_ns (k, now_ns);
+  if (k->agent == NULL || agent_self (k->agent) == 0 || hold_ns == 0
+      || now_ns < k->grant_after_ns || k->token == 0)
+    return;
+  uint32_t from = 0;
+  while (holdings_due (k->holdings, from, now_ns, hold_ns / 2, &run))
+    {
+      char handover[sizeof ((struct frame_handover *)0)->token];
+      struct token *t = cut_at_token (k, &run, now_ns);
+      if (t != NULL)
+        g_strlcpy (handover, t->handover.token, sizeof handover);
+      send_order (k, &run, hold_ns, t == NULL ? NULL : handover, now_ns);
+      if (t != NULL)
+        t->until_ns = 0;
+      from = run.to + 1;
+    }
+}
+
+static void
+release_closed (struct keys *k, int64_t now_ns)
+{
+  struct key_run run;
+  uint32_t from = 0;
+  if (k->move == 0)
+    return;
+  while (holdings_to_release (k->holdings, from, now_ns, &run))
+    {
+      send_order (k, &run, 0, NULL, now_ns);
+      from = run.to + 1;
+    }
+}
+
+/* Tell the agent when nothing of the closed keys is held or runs.  */
+static void
+watch_move (struct keys *k, int64_t now_ns)
+{
+  if (k->move == 0 || k->move_reported)
+    return;
+  bool idle = holdings_closed_until (k->holdings) <= now_ns;
+  if (!idle && now_ns < k->move_until_ns)
+    return;
+  k->move_reported = true;
+  if (idle)
+    agent_on_idle (k->agent, k->move, now_ns);
+  else
+    agent_on_busy (k->agent, k->move, now_ns);
+}
+
+static void
+drop_old_tokens (struct keys *k, int64_t now_ns)
+{
+  for (guint i = k->tokens->len; i > 0; i--)
+    if (g_array_index (k->tokens, struct token, i - 1).until_ns < now_ns)
+      g_array_remove_index_fast (k->tokens, i - 1);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  work (timer->data);
+}
+
+static void
+end_agent (struct keys *k)
+{
+  agent_free (k->agent);
+  k->agent = NULL;
+  k->generation++;
+  k->move = 0;
+  k->lease_ns = AGENT_NEVER_NS;
+  for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
+    {
+      holdings_own (k->holdings, i, false);
+      holdings_close (k->holdings, i, false);
+    }
+}
+
+static void
+work (struct keys *k)
+{
+  int64_t now_ns = clock_now_ns ();
+  int64_t wait_ms = ROUND_MS;
+  if (k->agent == NULL)
+    return;
+  release_closed (k, now_ns);
+  watch_move (k, now_ns);
+  int64_t next_ns = agent_tick (k->agent, now_ns);
+  if (k->left && next_ns == AGENT_FOREVER_NS)
+    {
+      end_agent (k);
+      return;
+    }
+  grant_due (k, now_ns);
+  drop_old_tokens (k, now_ns);
+  if (next_ns != AGENT_FOREVER_NS && (next_ns - now_ns) / NS_PER_MS < wait_ms)
+    wait_ms = (next_ns - now_ns) / NS_PER_MS + 1;
+  if (k->move != 0 && !k->move_reported && wait_ms > 10)
+    wait_ms = 10;
+  uv_timer_start (&k->timer, on_timer, wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
+}
+
+/* What the agent asks for.  */
+
+static void
+env_send (struct agent_env *env, const struct settings_address *to,
+          const void *data, size_t length)
+{
+  struct keys *k = from_env (env);
+  struct sockaddr_storage at;
+  uv_buf_t buffer = uv_buf_init ((char *)data, (unsigned)length);
+  if (settings_sockaddr (to, &at) != STATUS_OK)
+    return;
+  counter_add (COUNTER_lease_bytes_out_total, length);
+  /* A datagram that is not sent counts as lost.  */
+  uv_udp_try_send (&k->udp, &buffer, 1, (struct sockaddr *)&at);
+}
+
+static void
+submit (struct keys *k, struct keys_job *job)
+{
+  const struct settings *s = k->parts.settings;
+  job->generation = k->generation;
+  job->job.reply_to = k->parts.inbox;
+  snprintf (job->job.key, sizeof job->job.key, "%s/cell/%s", s->store_prefix,
+            s->service);
+  if (store_worker_submit (k->parts.worker, &job->job) == STATUS_OK)
+    return;
+  job->job.mail.kind = MAIL_STORE;
+  job->job.status = STATUS_UNAVAILABLE;
+  inbox_put_wait (k->parts.inbox, job);
+}
+
+static struct keys_job *
+new_job (enum store_call call)
+{
+  struct keys_job *job = calloc (1, sizeof *job);
+  if (job == NULL)
+    abort ();
+  job->job.call = call;
+  return job;
+}
+
+static void
+env_read (struct agent_env *env)
+{
+  submit (from_env (env), new_job (STORE_READ));
+}
+
+static void
+env_swap (struct agent_env *env, int64_t expected, char *json, size_t length)
+{
+  struct keys_job *job = new_job (STORE_SWAP);
+  job->job.expected = expected;
+  job->job.data = json;
+  job->job.length = length;
+  submit (from_env (env), job);
+}
+
+static void
+env_fetch (struct agent_env *env, const struct settings_address *from,
+           uint64_t serial)
+{
+  struct keys *k = from_env (env);
+  (void)serial;
+  if (nodes_fetch (k->parts.nodes, from, FRAME_CELL))
+    return;
+  struct keys_job *job = new_job (STORE_READ);
+  job->document = true;
+  submit (k, job);
+}
+
+/* Pass the handovers that this node holds to the keys' new owners.  */
+static void
+pass_tokens (struct keys *k, const struct cell *cell)
+{
+  for (guint i = 0; i < k->tokens->len; i++)
+    {
+      struct token *t = &g_array_index (k->tokens, struct token, i);
+      const struct cell_member *owner = owners_find (
+          k->parts.owners, k->parts.settings->service, t->handover.from);
+      if (!t->given || owner == NULL
+          || owner->incarnation == agent_self (k->agent))
+        continue;
+      nodes_hand_over (k->parts.nodes, owner->name, &t->handover);
+      t->until_ns = 0;
+    }
+  (void)cell;
+}
+
+static bool
+has_token_for (const struct keys *k, uint32_t key)
+{
+  for (guint i = 0; i < k->tokens->len; i++)
+    {
+      const struct token *t = &g_array_index (k->tokens, struct token, i);
+      if (!t->given && t->handover.from <= key && key <= t->handover.to)
+        return true;
+    }
+  return false;
+}
+
+/* Take from CELL which keys are SELF's.  */
+static void
+take_holdings (struct keys *k, const struct cell *cell, uint32_t self,
+               int64_t now_ns)
+{
+  k->token = 0;
+  for (uint32_t i = 0; i < cell->key_space; i++)
+    {
+      const struct cell_slot *slot
+          = &cell->slots[cell_slot_of_number (cell, i)];
+      bool mine = self != 0 && slot->owner == self;
+      if (mine && !holdings_is_mine (k->holdings, i) && cell->member_count > 1
+          && !has_token_for (k, i))
+        holdings_wait (k->holdings, i, now_ns + HANDOVER_WAIT_NS);
+      holdings_own (k->holdings, i, mine);
+      if (mine && slot->epoch > k->token)
+        k->token = slot->epoch;
+    }
+  for (uint32_t i = 0; i < cell->pin_count; i++)
+    {
+      const struct cell_pin *pin = &cell->pins[i];
+      uint32_t number = (uint32_t)strtoul (pin->key, NULL, 10);
+      if (number >= cell->key_space)
+        continue;
+      bool mine = self != 0 && pin->owner == self;
+      holdings_own (k->holdings, number, mine);
+      if (mine && pin->epoch > k->token)
+        k->token = pin->epoch;
+    }
+}
+
+static void
+env_publish (struct agent_env *env, const struct agent_view *view,
+             const char *json, size_t length)
+{
+  struct keys *k = from_env (env);
+  const struct settings *s = k->parts.settings;
+  g_free (k->document);
+  k->document = g_strndup (json, length);
+  k->document_length = length;
+  k->revision = view->revision;
+  k->serial = view->cell->serial;
+  owners_offer (k->parts.owners, s->service, json, length);
+  if (view->cell->key_space == s->key_space)
+    take_holdings (k, view->cell, view->self, clock_now_ns ());
+  pass_tokens (k, view->cell);
+  nodes_tell (k->parts.nodes);
+}
+
+static void
+env_lease (struct agent_env *env, int64_t until_ns)
+{
+  from_env (env)->lease_ns = until_ns;
+}
+
+static void
+close_keys (struct keys *k, const struct agent_move *move, bool closed)
+{
+  const struct cell *cell = agent_cell (k->agent);
+  if (move->key != NULL)
+    {
+      uint32_t number = (uint32_t)strtoul (move->key, NULL, 10);
+      if (number < k->parts.settings->key_space)
+        holdings_close (k->holdings, number, closed);
+      return;
+    }
+  for (uint32_t i = 0; i < move->slot_count; i++)
+    {
+      uint32_t slot = move->slots[i];
+      uint64_t space = cell->key_space;
+      uint32_t from = (uint32_t)((slot * space + cell->slot_count - 1)
+                                 / cell->slot_count);
+      uint32_t end = (uint32_t)(((slot + 1) * space + cell->slot_count - 1)
+                                / cell->slot_count);
+      for (uint32_t key = from; key < end && key < space; key++)
+        if (holdings_is_mine (k->holdings, key))
+          holdings_close (k->holdings, key, closed);
+    }
+}
+
+static void
+env_close (struct agent_env *env, const struct agent_move *move)
+{
+  struct keys *k = from_env (env);
+  for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
+    holdings_close (k->holdings, i, false);
+  k->move = move->id;
+  k->move_reported = false;
+  k->move_until_ns = clock_now_ns () + MOVE_LIMIT_NS;
+  close_keys (k, move, true);
+}
+
+static void
+env_open (struct agent_env *env, uint32_t id)
+{
+  struct keys *k = from_env (env);
+  if (k->move != id)
+    return;
+  k->move = 0;
+  for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
+    holdings_close (k->holdings, i, false);
+}
+
+static void
+env_notify (struct agent_env *env, enum event ev, const char *detail)
+{
+  struct keys *k = from_env (env);
+  log_event (ev, "member=%s %s", k->parts.settings->name, detail);
+  if (ev == EV_LEFT)
+    k->left = true;
+  if (ev == EV_MEMBER_DECLARED_DEAD)
+    counter_add (COUNTER_takeovers_total, 1);
+  if (ev == EV_SLOTS_MOVED)
+    counter_add (COUNTER_slots_moved_total, 1);
+}
+
+static const struct agent_env_ops env_ops = {
+  .send = env_send,
+  .read = env_read,
+  .swap = env_swap,
+  .fetch = env_fetch,
+  .publish = env_publish,
+  .lease = env_lease,
+  .close = env_close,
+  .open = env_open,
+  .notify = env_notify,
+};
+
+/* Datagrams.  */
+
+static void
+on_datagram (uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
+             const struct sockaddr *from, unsigned flags)
+{
+  struct keys *k = udp->data;
+  struct settings_address sender;
+  (void)flags;
+  if (length <= 0 || from == NULL || k->agent == NULL)
+    return;
+  struct sockaddr_storage at = { 0 };
+  memcpy (&at, from,
+          from->sa_family == AF_INET6 ? sizeof (struct sockaddr_in6)
+                                      : sizeof (struct sockaddr_in));
+  settings_from_sockaddr (&sender, &at);
+  counter_add (COUNTER_lease_bytes_in_total, (uint64_t)length);
+  agent_on_datagram (k->agent, &sender, buffer->base, (size_t)length,
+                     clock_now_ns ());
+  work (k);
+}
+
+static void
+datagram_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  static char bytes[2048];
+  (void)handle;
+  (void)suggested;
+  *buffer = uv_buf_init (bytes, sizeof bytes);
+}
+
+struct keys *
+keys_open (const struct keys_parts *parts)
+{
+  struct keys *k = g_new0 (struct keys, 1);
+  struct sockaddr_storage at;
+  k->parts = *parts;
+  k->env.ops = &env_ops;
+  k->lease_ns = AGENT_NEVER_NS;
+  k->holdings = holdings_new (parts->settings->key_space);
+  k->tokens = g_array_new (FALSE, FALSE, sizeof (struct token));
+  uv_udp_init (parts->loop, &k->udp);
+  uv_timer_init (parts->loop, &k->timer);
+  k->udp.data = k;
+  k->timer.data = k;
+  settings_sockaddr (&parts->settings->peers, &at);
+  if (uv_udp_bind (&k->udp, (struct sockaddr *)&at, 0) != 0
+      || uv_udp_recv_start (&k->udp, datagram_buffer, on_datagram) != 0)
+    {
+      status_set (STATUS_SYSTEM, "listen.peers over UDP: cannot bind");
+      return NULL;
+    }
+  return k;
+}
+
+static void
+start_agent (struct keys *k, int64_t now_ns)
+{
+  const struct settings *s = k->parts.settings;
+  /* This process alone has bound the peers' address of the instance: an
+     earlier run there has ended.  */
+  struct agent_config config = {
+    .service = s->service,
+    .name = s->name,
+    .zone = s->zone,
+    .rack = s->rack,
+    .callers = s->callers,
+    .peers = s->peers,
+    .place = "bound-address",
+    .weight = k->slots,
+    .slots = CELL_SLOTS,
+    .key_space = s->key_space,
+    .term_ms = s->lease_term_ms,
+    .renew_ms = s->lease_renew_ms,
+    .policy = s->policy,
+    .seed = (uint64_t)g_random_int () << 32 | g_random_int (),
+  };
+  k->agent = agent_new (&config, &k->env);
+  if (k->agent == NULL)
+    abort ();
+  k->left = false;
+  k->leaving = false;
+  agent_start (k->agent, now_ns);
+  work (k);
+}
+
+void
+keys_join (struct keys *k, uint32_t slots, bool new_run, int64_t now_ns)
+{
+  k->slots = slots;
+  if (new_run && k->agent != NULL)
+    end_agent (k);
+  if (new_run)
+    holdings_forget (k->holdings);
+  if (k->agent != NULL && k->leaving)
+    end_agent (k);
+  if (k->agent == NULL)
+    start_agent (k, now_ns);
+}
+
+void
+keys_leave (struct keys *k, int64_t now_ns)
+{
+  if (k->agent == NULL || k->leaving)
+    return;
+  k->leaving = true;
+  agent_leave (k->agent, now_ns);
+  work (k);
+}
+
+bool
+keys_has_left (const struct keys *k)
+{
+  return k->agent == NULL || k->left;
+}
+
+enum reason
+keys_may_serve (const struct keys *k, uint32_t key, int64_t now_ns)
+{
+  if (key >= k->parts.settings->key_space || k->agent == NULL
+      || !holdings_is_mine (k->holdings, key))
+    return REASON_NOT_OWNER;
+  if (holdings_is_closed (k->holdings, key))
+    return REASON_MOVING;
+  return holdings_serve (k->holdings, key, now_ns) ? REASON_NONE
+                                                   : REASON_LEASE_LAPSED;
+}
+
+void
+keys_refused (struct keys *k, uint32_t key)
+{
+  struct key_run run = { key, key };
+  holdings_released (k->holdings, &run, true);
+  work (k);
+}
+
+void
+keys_count (struct keys *k, uint32_t key)
+{
+  char text[16];
+  if (k->agent == NULL)
+    return;
+  int length = snprintf (text, sizeof text, "%u", key);
+  agent_count_key (k->agent, text, (size_t)length, 1);
+}
+
+void
+keys_set_load (struct keys *k, uint32_t load_pct)
+{
+  k->load += ((double)load_pct - k->load) * LOAD_WEIGHT;
+  if (k->agent != NULL)
+    agent_set_load (k->agent, (uint16_t)(k->load < 1 ? 1 : k->load));
+}
+
+bool
+keys_on_store (struct keys *k, struct store_job *job, int64_t now_ns)
+{
+  struct keys_job *own = (struct keys_job *)job;
+  if (job->call != STORE_READ && job->call != STORE_SWAP)
+    return false;
+  if (k->agent == NULL || own->generation != k->generation)
+    {
+      store_job_free (job);
+      return true;
+    }
+  if (job->call == STORE_SWAP)
+    agent_on_swap (k->agent, job->status, job->revision, now_ns);
+  else if (!own->document)
+    agent_on_read (k->agent, job->status, job->value.revision, job->value.data,
+                   job->value.length, now_ns);
+  else if (job->status == STATUS_OK)
+    agent_on_document (k->agent, job->value.revision, job->value.data,
+                       job->value.length, now_ns);
+  store_job_free (job);
+  work (k);
+  return true;
+}
+
+void
+keys_on_document (struct keys *k, int64_t revision, const char *text,
+                  size_t length, int64_t now_ns)
+{
+  if (k->agent == NULL)
+    return;
+  agent_on_document (k->agent, revision, text, length, now_ns);
+  work (k);
+}
+
+void
+keys_on_handover (struct keys *k, const struct frame_handover *h)
+{
+  if (h->to >= k->parts.settings->key_space || h->from > h->to)
+    return;
+  keep_token (k, h, false);
+  for (uint32_t i = h->from; i <= h->to; i++)
+    holdings_wait (k->holdings, i, 0);
+  work (k);
+}
+
+const char *
+keys_document (const struct keys *k, size_t *length, int64_t *revision)
+{
+  *length = k->document_length;
+  *revision = k->revision;
+  return k->document;
+}
+
+uint32_t
+keys_serial (const struct keys *k)
+{
+  return k->serial;
+}
--- /dev/null
+++ b/src/mesh/mesh.c
@@ -0,0 +1,694 @@
+#include "mesh/mesh.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "http/server.h"
+#include "mesh/gate.h"
+#include "mesh/keys.h"
+#include "mesh/owners.h"
+#include "mesh/nodes.h"
+#include "mesh/router.h"
+#include "mesh/watcher.h"
+#include "settings/address.h"
+#include "store/worker.h"
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  INBOX_ITEMS = 512
+};
+
+/* How long a node stays listed that does not renew its entry.  Nothing but
+   the first meeting of nodes hangs on the list.  */
+#define LISTED_S 120
+#define LISTED_RENEW_MS 40000
+/* Pause before the store is asked again for the list.  */
+#define LIST_AGAIN_MS 500
+/* Look at the load of the target for the placement of keys.  */
+#define LOAD_MS 250
+/* Pause between looks at whether all work has ended, when stopping.  */
+#define STOP_LOOK_MS 50
+/* Callers stop using a node that is not ready after about this.  */
+#define STOP_QUIET_NS (2500 * NS_PER_MS)
+/* Pause between two fetches of the same document.  */
+#define FETCH_PAUSE_NS (100 * NS_PER_MS)
+/* Limits on callers before the first configuration.  */
+#define FIRST_LIMITS                                                          \
+  {                                                                           \
+    .header_bytes = 16384, .body_bytes = 1 << 20, .header_timeout_ms = 3000,  \
+    .idle_timeout_ms = 15000                                                  \
+  }
+
+struct mesh
+{
+  struct settings *settings;
+  const struct dialect *dialect;
+  uv_loop_t loop;
+  struct http_limits limits;
+  struct http_server *callers;
+  struct http_server *ready;
+  struct http_server *targets;
+  struct http_server *operator_;
+  struct inbox *inbox;
+  uv_poll_t mail;
+  uv_prepare_t before_sleep;
+  struct store_worker *worker;
+  struct watcher *watcher;
+  struct gate *gate;
+  struct keys *keys;
+  struct nodes *nodes;
+  struct owners *owners;
+  struct router *router;
+  struct target_view target;
+  struct frame_node self;
+  uv_timer_t list_timer;
+  uv_timer_t load_timer;
+  uv_timer_t stop_timer;
+  uv_signal_t term;
+  uv_signal_t hup;
+  int64_t lease;
+  bool listed;
+  int64_t fetched_ns;
+  char *routes_text;   /* as read, for other nodes */
+  int64_t stopping_ns; /* since when; 0: no */
+  bool was_ready;
+  bool stopped;
+};
+
+/* State for other nodes.  */
+
+static bool
+is_keyed (const struct mesh *m)
+{
+  const struct routes *r = router_routes (m->router);
+  int i = r == NULL ? -1 : routes_service (r, m->settings->service);
+  return i >= 0 && g_array_index (r->services, struct service_policy, i).keyed;
+}
+
+static void
+fill_state (void *arg, struct frame_state *state)
+{
+  struct mesh *m = arg;
+  const struct routes *r = router_routes (m->router);
+  state->now_ns = clock_now_ns ();
+  state->load = gate_read_load (m->gate, state->now_ns);
+  if (m->stopping_ns != 0 && !is_keyed (m))
+    state->load.open = false;
+  state->routes_version = r == NULL ? 0 : r->version;
+  state->cell_serial = keys_serial (m->keys);
+}
+
+/* The target.  */
+
+static void
+follow_target (struct mesh *m, bool new_run)
+{
+  int64_t now_ns = clock_now_ns ();
+  gate_follow (m->gate, &m->target, new_run, now_ns);
+  if (is_keyed (m) && m->stopping_ns == 0)
+    {
+      if (m->target.phase == TARGET_SERVING)
+        keys_join (m->keys, m->target.slots, new_run, now_ns);
+      else
+        keys_leave (m->keys, now_ns);
+    }
+  nodes_tell (m->nodes);
+}
+
+static enum reason
+may_serve (void *arg, int32_t key, int64_t now_ns)
+{
+  struct mesh *m = arg;
+  return keys_may_serve (m->keys, (uint32_t)key, now_ns);
+}
+
+static void
+refused_key (void *arg, int32_t key)
+{
+  struct mesh *m = arg;
+  keys_refused (m->keys, (uint32_t)key);
+}
+
+static void
+lost_target (void *arg)
+{
+  struct mesh *m = arg;
+  if (!target_view_refused (&m->target))
+    return;
+  log_event (EV_TARGET_DOWN, "target=%s started=%" PRId64, m->target.id,
+             m->target.started_ms);
+  follow_target (m, false);
+}
+
+static void
+log_report (const struct mesh *m, const struct target_report *r,
+            enum target_change change)
+{
+  if (change == TARGET_SAME)
+    return;
+  log_event (EV_TARGET_REPORTED,
+             "target=%s started=%" PRId64 " sequence=%" PRIu64
+             " change=%s slots=%u cold_ms=%u believed=%s believed_sequence="
+             "%" PRIu64,
+             r->id, r->started_ms, r->sequence, target_change_word (change),
+             r->slots, r->cold_ms, m->target.id, m->target.sequence);
+}
+
+/* A target that leaves takes no new work from here on: the answer may bind
+   at once.  */
+static void
+on_target_call (void *arg, struct http_exchange *x)
+{
+  struct mesh *m = arg;
+  enum target_call call;
+  struct target_report report;
+  enum target_change change;
+  enum status s = m->dialect->read_target_call (
+      x->method, x->target->str, x->body->str, x->body->len, &call, &report);
+  if (s != STATUS_OK)
+    {
+      counter_add (COUNTER_target_reports_bad_total, 1);
+      log_event (EV_TARGET_REPORT_BAD, "path=%.80s cause=\"%s\" body=%.400s",
+                 x->target->str, status_message (), x->body->str);
+      http_answer (x, s == STATUS_NOT_FOUND ? 404 : 400, NULL, "", 0);
+      return;
+    }
+  counter_add (COUNTER_target_reports_total, 1);
+  if (call == CALL_GONE)
+    change = target_view_gone (&m->target, report.id, report.started_ms);
+  else
+    change = target_view_report (&m->target, &report, m->settings->service,
+                                 &m->settings->target, clock_now_ns ());
+  log_report (m, &report, change);
+  if (change >= TARGET_NEW_RUN)
+    follow_target (m, change == TARGET_NEW_RUN);
+  else if (change == TARGET_SAME)
+    gate_follow (m->gate, &m->target, false, clock_now_ns ());
+  const char *body = m->dialect->heartbeat_answer ();
+  http_answer (x, 200, "Content-Type: application/json\r\n", body,
+               strlen (body));
+}
+
+/* Readiness, counters.  */
+
+static bool
+is_ready (const struct mesh *m)
+{
+  return router_routes (m->router) != NULL && m->stopping_ns == 0;
+}
+
+static void
+note_ready (struct mesh *m)
+{
+  bool ready = is_ready (m);
+  if (ready == m->was_ready)
+    return;
+  m->was_ready = ready;
+  log_event (ready ? EV_READY : EV_NOT_READY, "node=%s", m->settings->name);
+}
+
+static void
+on_ready_call (void *arg, struct http_exchange *x)
+{
+  struct mesh *m = arg;
+  bool known = strcmp (x->target->str, m->dialect->ready_path) == 0;
+  http_answer (x, !known ? 404 : is_ready (m) ? 200 : 503, NULL, "", 0);
+}
+
+static void
+on_operator_call (void *arg, struct http_exchange *x)
+{
+  struct mesh *m = arg;
+  if (strcmp (x->target->str, "/metrics") != 0)
+    {
+      http_answer (x, 404, NULL, "", 0);
+      return;
+    }
+  char *counters = counter_export ();
+  char *latencies = router_metrics (m->router);
+  GString *out = g_string_new (counters);
+  g_string_append (out, latencies);
+  http_answer (x, 200, "Content-Type: text/plain; version=0.0.4\r\n", out->str,
+               out->len);
+  g_string_free (out, TRUE);
+  free (counters);
+  g_free (latencies);
+}
+
+/* Configuration.  */
+
+static void
+take_routes (struct mesh *m, const char *text, size_t length, const char *from)
+{
+  struct routes *r;
+  const struct routes *old = router_routes (m->router);
+  if (m->dialect->read_routes (text, length, &r) != STATUS_OK)
+    {
+      log_event (EV_ROUTES_REFUSED, "from=%s cause=\"%s\"", from,
+                 status_message ());
+      return;
+    }
+  if (old != NULL && r->version <= old->version)
+    {
+      routes_release (r);
+      return;
+    }
+  r->text = g_strndup (text, length);
+  r->length = length;
+  log_event (EV_ROUTES_IN_FORCE,
+             "version=%" PRIu64 " before=%" PRIu64 " routes=%u from=%s",
+             r->version, old == NULL ? 0 : old->version, r->list->len, from);
+  m->limits = r->limits;
+  router_set_routes (m->router, r);
+  routes_release (r);
+  if (m->target.phase == TARGET_SERVING)
+    follow_target (m, false);
+  else
+    nodes_tell (m->nodes);
+  note_ready (m);
+}
+
+/* Other nodes.  */
+
+static void *
+run_request (void *arg, struct attempt_request *request, attempt_done *done,
+             void *done_arg)
+{
+  struct mesh *m = arg;
+  if (request->key != ATTEMPT_NO_KEY)
+    keys_count (m->keys, (uint32_t)request->key);
+  return gate_send (m->gate, request, done, done_arg, clock_now_ns ());
+}
+
+static void
+stop_request (void *arg, void *handle)
+{
+  (void)arg;
+  gate_abandon (handle);
+}
+
+static const char *
+document (void *arg, enum frame_topic topic, size_t *length, int64_t *revision)
+{
+  struct mesh *m = arg;
+  const struct routes *r = router_routes (m->router);
+  *revision = 0;
+  if (topic == FRAME_CELL)
+    return keys_document (m->keys, length, revision);
+  *length = r == NULL ? 0 : r->length;
+  return r == NULL ? NULL : r->text;
+}
+
+static void
+take_document (void *arg, const struct frame_node *node,
+               enum frame_topic topic, int64_t revision, const char *text,
+               size_t length)
+{
+  struct mesh *m = arg;
+  if (topic == FRAME_ROUTES)
+    {
+      take_routes (m, text, length, node->name);
+      return;
+    }
+  bool own = strcmp (node->service, m->settings->service) == 0;
+  if (own)
+    keys_on_document (m->keys, revision, text, length, clock_now_ns ());
+  enum status s = owners_offer (m->owners, node->service, text, length);
+  if (s == STATUS_OK)
+    log_event (EV_OWNERS_LEARNED, "service=%s serial=%u from=%s",
+               node->service, owners_serial (m->owners, node->service),
+               node->name);
+  else if (s != STATUS_STALE)
+    log_event (EV_DOCUMENT_REFUSED, "from=%s cause=\"%s\"", node->name,
+               status_message ());
+}
+
+static void
+state_changed (void *arg, const struct frame_node *node,
+               const struct frame_state *state)
+{
+  struct mesh *m = arg;
+  const struct routes *r = router_routes (m->router);
+  int64_t now_ns = clock_now_ns ();
+  if (now_ns < m->fetched_ns + FETCH_PAUSE_NS)
+    return;
+  if (state->routes_version > (r == NULL ? 0 : r->version))
+    {
+      m->fetched_ns = now_ns;
+      nodes_fetch (m->nodes, &node->address, FRAME_ROUTES);
+    }
+  if (state->cell_serial > owners_serial (m->owners, node->service))
+    {
+      m->fetched_ns = now_ns;
+      nodes_fetch (m->nodes, &node->address, FRAME_CELL);
+    }
+}
+
+static void
+handover (void *arg, const struct frame_handover *h)
+{
+  struct mesh *m = arg;
+  keys_on_handover (m->keys, h);
+}
+
+/* The list of nodes in the store.  */
+
+static void on_list_timer (uv_timer_t *timer);
+
+static void
+submit (struct mesh *m, struct store_job *job)
+{
+  job->reply_to = m->inbox;
+  if (store_worker_submit (m->worker, job) == STATUS_OK)
+    return;
+  job->status = STATUS_UNAVAILABLE;
+  inbox_put_wait (m->inbox, job);
+}
+
+static void
+submit_entry (struct mesh *m)
+{
+  struct store_job *job = calloc (1, sizeof *job);
+  char text[ADDRESS_TEXT_BYTES];
+  if (job == NULL)
+    abort ();
+  settings_address_text (&m->self.address, text);
+  job->call = STORE_LEASE;
+  job->ttl_s = LISTED_S;
+  job->lease = m->lease;
+  snprintf (job->key, sizeof job->key, "%s/node/%s", m->settings->store_prefix,
+            text);
+  job->data = strdup (text);
+  job->length = strlen (text);
+  submit (m, job);
+}
+
+static void
+submit_list (struct mesh *m)
+{
+  struct store_job *job = calloc (1, sizeof *job);
+  if (job == NULL)
+    abort ();
+  job->call = STORE_LIST;
+  snprintf (job->key, sizeof job->key, "%s/node/", m->settings->store_prefix);
+  submit (m, job);
+}
+
+static void
+on_list_timer (uv_timer_t *timer)
+{
+  struct mesh *m = timer->data;
+  if (m->lease == 0 || m->listed)
+    submit_entry (m);
+  else
+    submit_list (m);
+}
+
+static void
+on_entry (struct mesh *m, const struct store_job *job)
+{
+  if (job->status != STATUS_OK)
+    {
+      m->lease = 0;
+      uv_timer_start (&m->list_timer, on_list_timer, LIST_AGAIN_MS, 0);
+      return;
+    }
+  if (m->lease != job->lease)
+    log_event (EV_ANNOUNCED, "node=%s lease=%" PRId64, m->settings->name,
+               job->lease);
+  m->lease = job->lease;
+  if (m->listed)
+    uv_timer_start (&m->list_timer, on_list_timer, LISTED_RENEW_MS, 0);
+  else
+    submit_list (m);
+}
+
+static void
+learn_text (struct mesh *m, const char *text)
+{
+  struct settings_address address;
+  const char *colon = strrchr (text, ':');
+  long port = colon == NULL ? 0 : strtol (colon + 1, NULL, 10);
+  if (colon == NULL || port < 1 || port > UINT16_MAX
+      || colon - text >= SETTINGS_HOST_BYTES)
+    {
+      log_event (EV_PEER_BAD_MESSAGE, "cause=\"malformed entry\" text=%.60s",
+                 text);
+      return;
+    }
+  snprintf (address.host, sizeof address.host, "%.*s", (int)(colon - text),
+            text);
+  address.port = (uint16_t)port;
+  nodes_learn (m->nodes, &address);
+}
+
+static void
+on_listed (struct mesh *m, const struct store_job *job)
+{
+  if (job->status != STATUS_OK)
+    {
+      uv_timer_start (&m->list_timer, on_list_timer, LIST_AGAIN_MS, 0);
+      return;
+    }
+  for (guint i = 0; i < job->values->len; i++)
+    learn_text (m, g_ptr_array_index (job->values, i));
+  m->listed = true;
+  uv_timer_start (&m->list_timer, on_list_timer, LISTED_RENEW_MS, 0);
+}
+
+static void
+on_store (struct mesh *m, struct store_job *job)
+{
+  if (keys_on_store (m->keys, job, clock_now_ns ()))
+    return;
+  if (job->call == STORE_LIST)
+    on_listed (m, job);
+  else
+    on_entry (m, job);
+  store_job_free (job);
+}
+
+static void
+take_mail (struct mesh *m)
+{
+  struct mail *mail;
+  while ((mail = inbox_take (m->inbox)) != NULL)
+    if (mail->kind == MAIL_STORE)
+      on_store (m, (struct store_job *)mail);
+    else
+      {
+        struct watched *w = (struct watched *)mail;
+        take_routes (m, w->text, w->length, "store");
+        watched_free (w);
+      }
+}
+
+static void
+on_mail (uv_poll_t *poll, int status, int events)
+{
+  struct mesh *m = poll->data;
+  (void)status;
+  (void)events;
+  inbox_awake (m->inbox);
+  take_mail (m);
+}
+
+/* Ask to be woken by mail, or take what came meanwhile.  */
+static void
+on_before_sleep (uv_prepare_t *prepare)
+{
+  struct mesh *m = prepare->data;
+  while (!inbox_sleep (m->inbox))
+    {
+      inbox_awake (m->inbox);
+      take_mail (m);
+    }
+}
+
+static void
+on_load_timer (uv_timer_t *timer)
+{
+  struct mesh *m = timer->data;
+  struct gate_load load = gate_read_load (m->gate, clock_now_ns ());
+  uint32_t slots = load.slots > 0 ? load.slots : 1;
+  keys_set_load (m->keys, (load.running + load.waiting) * 100 / slots);
+}
+
+/* Stopping.  */
+
+static void
+on_stop_timer (uv_timer_t *timer)
+{
+  struct mesh *m = timer->data;
+  int64_t since_ns = clock_now_ns () - m->stopping_ns;
+  bool idle = router_busy (m->router) == 0 && gate_busy (m->gate) == 0
+              && keys_has_left (m->keys);
+  if (since_ns > STOP_QUIET_NS)
+    http_server_close_idle (m->callers);
+  if ((idle && since_ns > STOP_QUIET_NS)
+      || since_ns > m->settings->drain_ms * NS_PER_MS)
+    uv_stop (&m->loop);
+}
+
+static void
+on_term (uv_signal_t *signal, int number)
+{
+  struct mesh *m = signal->data;
+  (void)number;
+  if (m->stopping_ns != 0)
+    return;
+  m->stopping_ns = clock_now_ns ();
+  log_event (EV_STOPPING, "node=%s busy=%u", m->settings->name,
+             router_busy (m->router));
+  note_ready (m);
+  http_server_drain (m->callers);
+  keys_leave (m->keys, m->stopping_ns);
+  nodes_tell (m->nodes);
+  uv_timer_start (&m->stop_timer, on_stop_timer, STOP_LOOK_MS, STOP_LOOK_MS);
+}
+
+static void
+on_hup (uv_signal_t *signal, int number)
+{
+  struct mesh *m = signal->data;
+  (void)number;
+  /* What the settings hold is fixed for a run; the operators' configuration
+     comes from the store.  */
+  log_event (EV_RELOADED, "node=%s changed=0", m->settings->name);
+}
+
+/* Starting.  */
+
+static enum status
+open_parts (struct mesh *m)
+{
+  struct settings *s = m->settings;
+  struct gate_hooks gate_hooks = { m, may_serve, refused_key, lost_target };
+  struct nodes_hooks nodes_hooks = {
+    .arg = m,
+    .fill_state = fill_state,
+    .run_request = run_request,
+    .stop_request = stop_request,
+    .document = document,
+    .take_document = take_document,
+    .state_changed = state_changed,
+    .handover = handover,
+  };
+  m->gate = gate_open (&m->loop, m->dialect, s, &gate_hooks);
+  m->owners = owners_new ();
+  m->nodes = nodes_open (&m->loop, &m->self, &nodes_hooks);
+  m->worker = store_worker_start (m->dialect->open_store (s));
+  if (m->nodes == NULL || m->worker == NULL)
+    return STATUS_SYSTEM;
+  struct keys_parts keys_parts
+      = { &m->loop, m->dialect, s,         m->worker,
+          m->inbox, m->nodes,   m->owners, gate_client (m->gate) };
+  struct router_parts router_parts
+      = { &m->loop, m->dialect, s, m->gate, m->nodes, m->owners };
+  m->keys = keys_open (&keys_parts);
+  m->router = router_open (&router_parts);
+  return m->keys == NULL ? STATUS_SYSTEM : STATUS_OK;
+}
+
+static enum status
+open_servers (struct mesh *m)
+{
+  static const struct http_limits own_limits = FIRST_LIMITS;
+  const struct settings *s = m->settings;
+  m->callers = http_server_new (&m->loop, &s->callers, &m->limits, router_take,
+                                m->router);
+  m->operator_ = http_server_new (&m->loop, &s->operator_address, &own_limits,
+                                  on_operator_call, m);
+  if (m->callers == NULL || m->operator_ == NULL)
+    return STATUS_SYSTEM;
+  if (s->ready.port != 0)
+    m->ready
+        = http_server_new (&m->loop, &s->ready, &own_limits, on_ready_call, m);
+  if (s->targets.port != 0)
+    m->targets = http_server_new (&m->loop, &s->targets, &own_limits,
+                                  on_target_call, m);
+  if ((s->ready.port != 0 && m->ready == NULL)
+      || (s->targets.port != 0 && m->targets == NULL))
+    return STATUS_SYSTEM;
+  return STATUS_OK;
+}
+
+static void
+start_events (struct mesh *m)
+{
+  uv_poll_init (&m->loop, &m->mail, inbox_fd (m->inbox));
+  uv_prepare_init (&m->loop, &m->before_sleep);
+  uv_timer_init (&m->loop, &m->list_timer);
+  uv_timer_init (&m->loop, &m->load_timer);
+  uv_timer_init (&m->loop, &m->stop_timer);
+  uv_signal_init (&m->loop, &m->term);
+  uv_signal_init (&m->loop, &m->hup);
+  m->mail.data = m;
+  m->before_sleep.data = m;
+  m->list_timer.data = m;
+  m->load_timer.data = m;
+  m->stop_timer.data = m;
+  m->term.data = m;
+  m->hup.data = m;
+  uv_poll_start (&m->mail, UV_READABLE, on_mail);
+  uv_prepare_start (&m->before_sleep, on_before_sleep);
+  uv_signal_start (&m->term, on_term, SIGTERM);
+  uv_signal_start (&m->hup, on_hup, SIGHUP);
+  uv_timer_start (&m->load_timer, on_load_timer, LOAD_MS, LOAD_MS);
+  submit_entry (m);
+}
+
+static void
+fill_self (struct mesh *m)
+{
+  const struct settings *s = m->settings;
+  memcpy (m->self.name, s->name, sizeof m->self.name);
+  memcpy (m->self.service, s->service, sizeof m->self.service);
+  memcpy (m->self.zone, s->zone, sizeof m->self.zone);
+  m->self.address = s->peers;
+  m->self.run = (uint64_t)g_random_int () << 32 | g_random_int ();
+}
+
+int
+mesh_run (struct settings *settings, const struct dialect *dialect)
+{
+  static struct mesh m; /* one a process; too large for the stack */
+  m.settings = settings;
+  m.dialect = dialect;
+  m.limits = (struct http_limits)FIRST_LIMITS;
+  signal (SIGPIPE, SIG_IGN);
+  log_to_output ();
+  log_set_level (settings->log_level);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  dialect->apply_bounds (settings);
+  uv_loop_init (&m.loop);
+  fill_self (&m);
+  m.inbox = inbox_new (inbox_capacity (INBOX_ITEMS));
+  enum status s = open_parts (&m);
+  if (s == STATUS_OK)
+    s = open_servers (&m);
+  if (s == STATUS_OK)
+    {
+      m.watcher = watcher_start (dialect->open_store (settings),
+                                 dialect->configuration_key, m.inbox);
+      s = m.watcher == NULL ? STATUS_SYSTEM : STATUS_OK;
+    }
+  if (s != STATUS_OK)
+    {
+      log_event (EV_START_FAILED, "cause=\"%s\"", status_message ());
+      return EXIT_FAILURE;
+    }
+  log_event (EV_STARTED, "node=%s service=%s zone=%s run=%" PRIu64,
+             settings->name, settings->service, settings->zone, m.self.run);
+  start_events (&m);
+  uv_run (&m.loop, UV_RUN_DEFAULT);
+  log_event (EV_STOPPED, "node=%s after_ms=%d", settings->name,
+             (int)((clock_now_ns () - m.stopping_ns) / NS_PER_MS));
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/mesh/nodes.c
@@ -0,0 +1,699 @@
+#include "mesh/nodes.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/log.h"
+#include "http/net.h"
+#include "settings/address.h"
+#include <string.h>
+
+/* Time between two states that tell nothing new: a third of the silence
+   after which a node counts as lost.  Each state is some 40 bytes.  */
+#define STATE_MS 500
+/* Beyond this number of nodes states are rarer in proportion, so that control
+   takes the same part of a node.  */
+#define STATE_NODES 24
+#define SILENCES 3
+/* Pause before a node that does not answer is dialled again.  */
+#define DIAL_LEAST_MS 100
+#define DIAL_MOST_MS 2000
+/* Longest wait for a connection: ten times a round trip within a region.  */
+#define CONNECT_MS 1000
+
+struct link
+{
+  uv_tcp_t tcp;
+  GByteArray *in;
+  struct nodes *nodes;
+  struct peer *peer; /* dialled */
+  struct inbound *inbound;
+  bool closed;
+};
+
+/* A node that this node dials.  */
+struct peer
+{
+  struct nodes *nodes;
+  struct settings_address address;
+  struct frame_node node;
+  struct frame_state state;
+  bool up; /* told its state on this connection */
+  int64_t heard_ns;
+  int64_t clock_ahead_ns; /* its clock over ours, at least */
+  uint32_t sent_since;
+  uint32_t dial_ms;
+  struct link *link; /* NULL: not connected */
+  uv_connect_t connecting;
+  uv_timer_t timer;
+  GHashTable *calls; /* struct node_call by number */
+};
+
+struct node_call
+{
+  struct peer *peer;
+  uint64_t number;
+  attempt_done *done;
+  void *arg;
+};
+
+/* A node that dialled this one.  */
+struct inbound
+{
+  struct link *link;
+  GList in_list;
+  char name[SETTINGS_NAME_BYTES];
+  GHashTable *jobs; /* struct inbound_job by number */
+  bool told_node;
+};
+
+struct inbound_job
+{
+  struct inbound *inbound;
+  uint64_t number;
+  void *handle;
+};
+
+struct nodes
+{
+  uv_loop_t *loop;
+  struct frame_node self;
+  struct nodes_hooks hooks;
+  uv_tcp_t listener;
+  uv_timer_t beat;
+  GHashTable *by_address; /* struct peer by text */
+  GQueue inbounds;
+  uint64_t last_number;
+};
+
+static void dial_later (struct peer *peer);
+
+/* Links.  */
+
+static void
+on_link_closed (uv_handle_t *handle)
+{
+  struct link *link = handle->data;
+  g_byte_array_free (link->in, TRUE);
+  g_free (link);
+}
+
+static struct link *
+link_new (struct nodes *p)
+{
+  struct link *link = g_new0 (struct link, 1);
+  link->nodes = p;
+  link->in = g_byte_array_new ();
+  uv_tcp_init (p->loop, &link->tcp);
+  link->tcp.data = link;
+  return link;
+}
+
+static void
+link_close (struct link *link)
+{
+  if (link->closed)
+    return;
+  link->closed = true;
+  uv_close ((uv_handle_t *)&link->tcp, on_link_closed);
+}
+
+static bool
+link_send (struct link *link, GString *frame)
+{
+  counter_add (COUNTER_peer_messages_out_total, 1);
+  counter_add (COUNTER_peer_bytes_out_total, frame->len);
+  return net_send ((uv_stream_t *)&link->tcp, frame);
+}
+
+static uint32_t
+state_interval_ms (const struct nodes *p)
+{
+  guint nodes = g_hash_table_size (p->by_address);
+  return nodes <= STATE_NODES ? STATE_MS : STATE_MS * nodes / STATE_NODES;
+}
+
+static unsigned
+silence_ms (const struct nodes *p)
+{
+  return state_interval_ms (p) * SILENCES;
+}
+
+/* Nodes that this one dials.  */
+
+static void
+fail_calls (struct peer *peer, enum reason reason)
+{
+  GList *calls = g_hash_table_get_values (peer->calls);
+  g_hash_table_steal_all (peer->calls);
+  for (GList *l = calls; l != NULL; l = l->next)
+    ((struct node_call *)l->data)->peer = NULL;
+  for (GList *l = calls; l != NULL; l = l->next)
+    {
+      struct node_call *call = l->data;
+      struct attempt_result result = attempt_unknown (reason);
+      if (call->done != NULL)
+        call->done (call->arg, &result);
+      g_free (call);
+    }
+  g_list_free (calls);
+}
+
+static void
+lose_peer (struct peer *peer, const char *cause)
+{
+  if (peer->up)
+    log_event (EV_PEER_LOST, "peer=%s cause=%s calls=%u silent_ms=%d",
+               peer->node.name, cause, g_hash_table_size (peer->calls),
+               (int)((clock_now_ns () - peer->heard_ns) / NS_PER_MS));
+  if (peer->link != NULL)
+    {
+      peer->link->peer = NULL;
+      link_close (peer->link);
+    }
+  peer->link = NULL;
+  peer->up = false;
+  fail_calls (peer, REASON_OWNER_LOST);
+  dial_later (peer);
+}
+
+static void
+take_state (struct peer *peer, const struct frame *f, int64_t now_ns)
+{
+  struct nodes *p = peer->nodes;
+  int64_t ahead_ns = f->state.now_ns - now_ns;
+  if (f->has_node)
+    {
+      bool same_run = peer->node.run == f->node.run;
+      peer->node = f->node;
+      if (!same_run || !peer->up)
+        peer->clock_ahead_ns = ahead_ns;
+    }
+  if (ahead_ns > peer->clock_ahead_ns)
+    peer->clock_ahead_ns = ahead_ns;
+  peer->state = f->state;
+  peer->sent_since = 0;
+  if (!peer->up && f->has_node)
+    {
+      peer->up = true;
+      peer->dial_ms = DIAL_LEAST_MS;
+      log_event (EV_PEER_UP,
+                 "peer=%s service=%s zone=%s run=%" G_GUINT64_FORMAT,
+                 peer->node.name, peer->node.service, peer->node.zone,
+                 peer->node.run);
+    }
+  if (peer->up)
+    p->hooks.state_changed (p->hooks.arg, &peer->node, &peer->state);
+}
+
+static void
+take_result (struct peer *peer, const struct frame *f)
+{
+  struct node_call *call = g_hash_table_lookup (peer->calls, &f->number);
+  if (call == NULL)
+    {
+      counter_add (COUNTER_peer_late_answers_total, 1);
+      return;
+    }
+  g_hash_table_steal (peer->calls, &f->number);
+  call->peer = NULL;
+  call->done (call->arg, &f->result);
+  g_free (call);
+}
+
+static void
+on_peer_frame (struct peer *peer, const struct frame *f, int64_t now_ns)
+{
+  struct nodes *p = peer->nodes;
+  peer->heard_ns = now_ns;
+  if (f->kind == FRAME_STATE || f->kind == FRAME_RESULT)
+    take_state (peer, f, now_ns);
+  if (f->kind == FRAME_RESULT)
+    take_result (peer, f);
+  else if (f->kind == FRAME_DOCUMENT)
+    p->hooks.take_document (p->hooks.arg, &peer->node, f->topic, f->revision,
+                            f->text, f->length);
+}
+
+/* Nodes that dialled this one.  */
+
+static void
+on_job_done (void *arg, const struct attempt_result *result)
+{
+  struct inbound_job *job = arg;
+  struct inbound *in = job->inbound;
+  struct nodes *p = in->link->nodes;
+  struct frame_state state;
+  p->hooks.fill_state (p->hooks.arg, &state);
+  link_send (in->link, frame_result (job->number, result, &state));
+  g_hash_table_remove (in->jobs, &job->number);
+}
+
+static void
+start_inbound_job (struct inbound *in, struct frame *f)
+{
+  struct nodes *p = in->link->nodes;
+  struct inbound_job *job = g_new0 (struct inbound_job, 1);
+  job->inbound = in;
+  job->number = f->number;
+  counter_add (COUNTER_requests_from_peers_total, 1);
+  g_hash_table_replace (in->jobs, &job->number, job);
+  job->handle
+      = p->hooks.run_request (p->hooks.arg, &f->request, on_job_done, job);
+}
+
+static void
+cancel_inbound_job (struct inbound *in, uint64_t number)
+{
+  struct nodes *p = in->link->nodes;
+  struct inbound_job *job = g_hash_table_lookup (in->jobs, &number);
+  if (job == NULL)
+    return;
+  p->hooks.stop_request (p->hooks.arg, job->handle);
+  g_hash_table_remove (in->jobs, &number);
+}
+
+static void
+send_document (struct inbound *in, enum frame_topic topic)
+{
+  struct nodes *p = in->link->nodes;
+  size_t length = 0;
+  int64_t revision = 0;
+  const char *text
+      = p->hooks.document (p->hooks.arg, topic, &length, &revision);
+  if (text != NULL)
+    link_send (in->link, frame_document (topic, revision, text, length));
+}
+
+static void
+greet (struct inbound *in, const struct frame_node *node)
+{
+  struct nodes *p = in->link->nodes;
+  struct frame_state state;
+  memcpy (in->name, node->name, sizeof in->name);
+  p->hooks.fill_state (p->hooks.arg, &state);
+  link_send (in->link, frame_state (&p->self, &state));
+  in->told_node = true;
+  nodes_learn (p, &node->address);
+}
+
+static void
+on_inbound_frame (struct inbound *in, struct frame *f)
+{
+  struct nodes *p = in->link->nodes;
+  switch (f->kind)
+    {
+    case FRAME_HELLO:
+      greet (in, &f->node);
+      break;
+    case FRAME_REQUEST:
+      start_inbound_job (in, f);
+      break;
+    case FRAME_CANCEL:
+      cancel_inbound_job (in, f->number);
+      break;
+    case FRAME_FETCH:
+      send_document (in, f->topic);
+      break;
+    case FRAME_HANDOVER:
+      p->hooks.handover (p->hooks.arg, &f->handover);
+      break;
+    default:
+      break;
+    }
+}
+
+/* The dialling node is lost: nobody waits for its requests.  */
+static void
+close_inbound (struct inbound *in)
+{
+  struct nodes *p = in->link->nodes;
+  GList *jobs = g_hash_table_get_values (in->jobs);
+  for (GList *l = jobs; l != NULL; l = l->next)
+    p->hooks.stop_request (p->hooks.arg,
+                           ((struct inbound_job *)l->data)->handle);
+  g_list_free (jobs);
+  g_hash_table_destroy (in->jobs);
+  g_queue_unlink (&p->inbounds, &in->in_list);
+  in->link->inbound = NULL;
+  link_close (in->link);
+  g_free (in);
+}
+
+/* Reading of both.  */
+
+static void
+link_lost (struct link *link, const char *cause)
+{
+  if (link->peer != NULL)
+    lose_peer (link->peer, cause);
+  else if (link->inbound != NULL)
+    close_inbound (link->inbound);
+  else
+    link_close (link);
+}
+
+static bool
+take_frame (struct link *link, const char *data, size_t length)
+{
+  struct frame f;
+  if (frame_read (data, length, &f) != STATUS_OK)
+    {
+      counter_add (COUNTER_peer_bad_messages_total, 1);
+      log_event (EV_PEER_BAD_MESSAGE, "cause=\"%s\"", status_message ());
+      return false;
+    }
+  counter_add (COUNTER_peer_messages_in_total, 1);
+  if (link->peer != NULL)
+    on_peer_frame (link->peer, &f, clock_now_ns ());
+  else if (link->inbound != NULL)
+    on_inbound_frame (link->inbound, &f);
+  attempt_request_clear (&f.request);
+  return true;
+}
+
+static void
+take_frames (struct link *link)
+{
+  size_t used = 0;
+  while (!link->closed && link->in->len - used >= FRAME_HEADER_BYTES)
+    {
+      uint32_t length;
+      memcpy (&length, link->in->data + used, sizeof length);
+      length = GUINT32_FROM_BE (length);
+      if (length > FRAME_BYTES_MAX)
+        {
+          link_lost (link, "malformed");
+          return;
+        }
+      if (link->in->len - used - FRAME_HEADER_BYTES < length)
+        break;
+      const char *data
+          = (const char *)link->in->data + used + FRAME_HEADER_BYTES;
+      used += FRAME_HEADER_BYTES + length;
+      if (!take_frame (link, data, length))
+        {
+          link_lost (link, "malformed");
+          return;
+        }
+    }
+  if (!link->closed && used > 0)
+    g_byte_array_remove_range (link->in, 0, (guint)used);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+  struct link *link = stream->data;
+  if (link->closed || length == 0)
+    return;
+  if (length < 0)
+    {
+      link_lost (link, length == UV_EOF ? "closed" : "reset");
+      return;
+    }
+  counter_add (COUNTER_peer_bytes_in_total, (uint64_t)length);
+  g_byte_array_append (link->in, (const guint8 *)buffer->base, (guint)length);
+  take_frames (link);
+}
+
+/* Dialling.  */
+
+static void
+on_connected (uv_connect_t *request, int status)
+{
+  struct link *link = request->data;
+  struct peer *peer = link->peer;
+  if (link->closed || peer == NULL)
+    return;
+  if (status != 0)
+    {
+      lose_peer (peer, "refused");
+      return;
+    }
+  net_tune (&link->tcp, silence_ms (peer->nodes));
+  uv_read_start ((uv_stream_t *)&link->tcp, net_buffer, on_read);
+  peer->heard_ns = clock_now_ns ();
+  link_send (link, frame_hello (&peer->nodes->self));
+}
+
+static void
+on_peer_timer (uv_timer_t *timer)
+{
+  struct peer *peer = timer->data;
+  struct nodes *p = peer->nodes;
+  int64_t now_ns = clock_now_ns ();
+  if (peer->link == NULL)
+    {
+      struct sockaddr_storage at;
+      peer->link = link_new (p);
+      peer->link->peer = peer;
+      peer->heard_ns = now_ns;
+      peer->connecting.data = peer->link;
+      settings_sockaddr (&peer->address, &at);
+      if (uv_tcp_connect (&peer->connecting, &peer->link->tcp,
+                          (struct sockaddr *)&at, on_connected)
+          != 0)
+        lose_peer (peer, "connect");
+      else
+        uv_timer_start (&peer->timer, on_peer_timer, CONNECT_MS, 0);
+      return;
+    }
+  /* Not connected in time, or silent.  */
+  int64_t limit_ns = (peer->up ? silence_ms (p) : CONNECT_MS) * NS_PER_MS;
+  if (now_ns - peer->heard_ns >= limit_ns)
+    lose_peer (peer, "silent");
+  else
+    uv_timer_start (
+        &peer->timer, on_peer_timer,
+        (uint64_t)((peer->heard_ns + limit_ns - now_ns) / NS_PER_MS) + 1, 0);
+}
+
+static void
+dial_later (struct peer *peer)
+{
+  uint32_t pause_ms = peer->dial_ms;
+  peer->dial_ms *= 2;
+  if (peer->dial_ms > DIAL_MOST_MS)
+    peer->dial_ms = DIAL_MOST_MS;
+  pause_ms += (uint32_t)g_random_int_range (0, (gint32)pause_ms);
+  uv_timer_start (&peer->timer, on_peer_timer, pause_ms, 0);
+}
+
+static void
+on_listening (uv_stream_t *listener, int status)
+{
+  struct nodes *p = listener->data;
+  if (status != 0)
+    return;
+  struct link *link = link_new (p);
+  if (uv_accept (listener, (uv_stream_t *)&link->tcp) != 0)
+    {
+      link_close (link);
+      return;
+    }
+  struct inbound *in = g_new0 (struct inbound, 1);
+  in->link = link;
+  in->in_list.data = in;
+  in->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  link->inbound = in;
+  g_queue_push_tail_link (&p->inbounds, &in->in_list);
+  net_tune (&link->tcp, silence_ms (p));
+  uv_read_start ((uv_stream_t *)&link->tcp, net_buffer, on_read);
+}
+
+static void
+on_beat (uv_timer_t *timer)
+{
+  struct nodes *p = timer->data;
+  nodes_tell (p);
+  uv_timer_start (timer, on_beat, state_interval_ms (p), 0);
+}
+
+struct nodes *
+nodes_open (uv_loop_t *loop, const struct frame_node *self,
+            const struct nodes_hooks *hooks)
+{
+  struct nodes *p = g_new0 (struct nodes, 1);
+  p->loop = loop;
+  p->self = *self;
+  p->hooks = *hooks;
+  p->by_address = g_hash_table_new (g_str_hash, g_str_equal);
+  g_queue_init (&p->inbounds);
+  if (net_listen (loop, &p->listener, &self->address, on_listening)
+      != STATUS_OK)
+    return NULL;
+  p->listener.data = p;
+  uv_timer_init (loop, &p->beat);
+  p->beat.data = p;
+  uv_timer_start (&p->beat, on_beat, STATE_MS, 0);
+  return p;
+}
+
+static struct peer *
+find_address (const struct nodes *p, const struct settings_address *address)
+{
+  char text[ADDRESS_TEXT_BYTES];
+  settings_address_text (address, text);
+  return g_hash_table_lookup (p->by_address, text);
+}
+
+void
+nodes_learn (struct nodes *p, const struct settings_address *address)
+{
+  char text[ADDRESS_TEXT_BYTES];
+  struct peer *peer = find_address (p, address);
+  if (peer != NULL)
+    {
+      /* It lives: dial at once if that has failed before.  */
+      if (peer->link == NULL)
+        {
+          peer->dial_ms = DIAL_LEAST_MS;
+          uv_timer_start (&peer->timer, on_peer_timer, 0, 0);
+        }
+      return;
+    }
+  if (address->port == p->self.address.port
+      && strcmp (address->host, p->self.address.host) == 0)
+    return;
+  settings_address_text (address, text);
+  peer = g_new0 (struct peer, 1);
+  peer->nodes = p;
+  peer->address = *address;
+  peer->dial_ms = DIAL_LEAST_MS;
+  peer->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  uv_timer_init (p->loop, &peer->timer);
+  peer->timer.data = peer;
+  g_hash_table_insert (p->by_address, g_strdup (text), peer);
+  uv_timer_start (&peer->timer, on_peer_timer, 0, 0);
+}
+
+static void
+fill_view (const struct peer *peer, struct node_view *view)
+{
+  view->node = &peer->node;
+  view->state = &peer->state;
+  view->state_age_ns = clock_now_ns () - peer->heard_ns;
+  view->sent_since = peer->sent_since;
+}
+
+void
+nodes_visit (const struct nodes *p, nodes_each *each, void *arg)
+{
+  GHashTableIter iter;
+  gpointer value;
+  struct node_view view;
+  g_hash_table_iter_init (&iter, p->by_address);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct peer *peer = value;
+      if (!peer->up)
+        continue;
+      fill_view (peer, &view);
+      if (!each (arg, &view))
+        return;
+    }
+}
+
+static struct peer *
+find_name (const struct nodes *p, const char *name)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, p->by_address);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct peer *peer = value;
+      if (peer->up && strcmp (peer->node.name, name) == 0)
+        return peer;
+    }
+  return NULL;
+}
+
+bool
+nodes_find (const struct nodes *p, const char *name, struct node_view *view)
+{
+  const struct peer *peer = find_name (p, name);
+  if (peer != NULL)
+    fill_view (peer, view);
+  return peer != NULL;
+}
+
+struct node_call *
+nodes_send (struct nodes *p, const char *name,
+            const struct attempt_request *request, attempt_done *done,
+            void *arg)
+{
+  struct peer *peer = find_name (p, name);
+  if (peer == NULL)
+    return NULL;
+  struct node_call *call = g_new0 (struct node_call, 1);
+  call->peer = peer;
+  call->number = ++p->last_number;
+  call->done = done;
+  call->arg = arg;
+  g_hash_table_insert (peer->calls, &call->number, call);
+  peer->sent_since++;
+  counter_add (COUNTER_requests_forwarded_total, 1);
+  /* A broken connection is seen by its reader, which ends the call.  */
+  link_send (peer->link,
+             frame_request (call->number, request, peer->clock_ahead_ns));
+  return call;
+}
+
+void
+nodes_drop (struct node_call *call)
+{
+  struct peer *peer = call->peer;
+  if (peer == NULL)
+    {
+      call->done = NULL; /* it is about to be told */
+      return;
+    }
+  g_hash_table_remove (peer->calls, &call->number);
+  link_send (peer->link, frame_cancel (call->number));
+  g_free (call);
+}
+
+bool
+nodes_fetch (struct nodes *p, const struct settings_address *address,
+             enum frame_topic topic)
+{
+  struct peer *peer = find_address (p, address);
+  if (peer == NULL || !peer->up)
+    return false;
+  return link_send (peer->link, frame_fetch (topic));
+}
+
+void
+nodes_hand_over (struct nodes *p, const char *name,
+                 const struct frame_handover *h)
+{
+  struct peer *peer = find_name (p, name);
+  if (peer != NULL)
+    link_send (peer->link, frame_handover (h));
+}
+
+void
+nodes_tell (struct nodes *p)
+{
+  struct frame_state state;
+  p->hooks.fill_state (p->hooks.arg, &state);
+  for (GList *l = p->inbounds.head; l != NULL; l = l->next)
+    {
+      struct inbound *in = l->data;
+      if (in->told_node)
+        link_send (in->link, frame_state (NULL, &state));
+    }
+}
+
+unsigned
+nodes_count (const struct nodes *p)
+{
+  unsigned count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, p->by_address);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const struct peer *)value)->up;
+  return count;
+}
--- /dev/null
+++ b/src/mesh/owners.c
@@ -0,0 +1,64 @@
+#include "mesh/owners.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  NUMBER_BYTES = 16
+};
+
+struct owners
+{
+  GHashTable *cells; /* struct cell by service */
+};
+
+struct owners *
+owners_new (void)
+{
+  struct owners *o = g_new0 (struct owners, 1);
+  o->cells = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free);
+  return o;
+}
+
+static const struct cell *
+find (const struct owners *o, const char *service)
+{
+  return g_hash_table_lookup (o->cells, service);
+}
+
+enum status
+owners_offer (struct owners *o, const char *service, const char *text,
+              size_t length)
+{
+  struct cell *cell;
+  enum status s = cell_parse (text, length, &cell);
+  if (s != STATUS_OK)
+    return s;
+  if (cell->serial <= owners_serial (o, service))
+    {
+      free (cell);
+      return STATUS_STALE;
+    }
+  g_hash_table_replace (o->cells, g_strdup (service), cell);
+  return STATUS_OK;
+}
+
+uint32_t
+owners_serial (const struct owners *o, const char *service)
+{
+  const struct cell *cell = find (o, service);
+  return cell == NULL ? 0 : cell->serial;
+}
+
+const struct cell_member *
+owners_find (const struct owners *o, const char *service, uint32_t number)
+{
+  char key[NUMBER_BYTES];
+  const struct cell *cell = find (o, service);
+  if (cell == NULL || number >= cell->key_space)
+    return NULL;
+  int length = snprintf (key, sizeof key, "%u", number);
+  struct cell_owner owner = cell_owner_of (cell, key, (size_t)length);
+  return cell_member (cell, owner.incarnation);
+}
--- /dev/null
+++ b/src/mesh/owners.h
@@ -0,0 +1,27 @@
+/* Who owns which key, of every service: the newest documents that this node
+   has seen.  */
+
+#ifndef MESH_OWNERS_H
+#define MESH_OWNERS_H
+
+#include "base/status.h"
+#include "own/cell.h"
+#include <glib.h>
+
+struct owners;
+
+struct owners *owners_new (void);
+
+/* Take the document TEXT of SERVICE.  STATUS_OK, STATUS_STALE unless it is
+   newer, STATUS_INVALID.  */
+enum status owners_offer (struct owners *o, const char *service,
+                          const char *text, size_t length);
+
+/* The serial of SERVICE's document; 0: none.  */
+uint32_t owners_serial (const struct owners *o, const char *service);
+
+/* The member of SERVICE that owns the key NUMBER, or NULL.  */
+const struct cell_member *owners_find (const struct owners *o,
+                                       const char *service, uint32_t number);
+
+#endif
--- /dev/null
+++ b/src/mesh/router.c
@@ -0,0 +1,696 @@
+#include "mesh/router.h"
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/histogram.h"
+#include "base/log.h"
+#include "limit/retry.h"
+#include "mesh/balance.h"
+#include "settings/address.h"
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* How much later than its deadline a target's own answer may come.  */
+#define ANSWER_SLACK_MS 150
+/* Pause before a key whose owner is not known is looked up again.  */
+#define LOOK_AGAIN_MS 20
+/* Part of the wanted time that a request may wait for an owner: refused by
+   then, its caller can still come back in time.  */
+#define OWNER_WAIT_SHARE 0.25
+/* A lookup is not sent again by its target: it waits longer.  */
+#define LOOKUP_WAIT_SHARE 0.6
+/* Nodes that may turn a request away before it is refused.  Each costs a round
+   trip between nodes.  */
+#define TURNS_MAX 3
+/* When nothing tells better, callers come back after this, spread over as much
+   again.  */
+#define RETRY_AFTER_NS (300 * NS_PER_MS)
+/* Part of the retry budget that this node uses: calls that a repeated run
+   makes count as repeats as well.  */
+#define BUDGET_SHARE 0.6
+#define CANDIDATES_MAX 256
+
+struct service_budget
+{
+  struct retry_budget budget;
+};
+
+struct router
+{
+  struct router_parts parts;
+  struct routes *routes;
+  struct paces *paces;
+  GHashTable *budgets; /* struct service_budget by service */
+  struct histogram *latency[OUTCOME_COUNT]; /* microseconds */
+  unsigned busy;
+};
+
+struct pending
+{
+  struct router *router;
+  struct http_exchange *x;
+  struct routes *routes; /* held */
+  const struct route *route;
+  const struct service_policy *service;
+  struct attempt_request request;
+  int64_t arrived_ns;
+  int64_t until_ns; /* of the wait for an owner */
+  uint32_t sends;   /* that arrived at a target */
+  uint32_t turns;   /* nodes that turned it away */
+  bool in_doubt;    /* an earlier send may have run */
+  GPtrArray *tried; /* names of targets it was sent to */
+  char *at;         /* the node that has it */
+  struct gate_job *job;
+  struct node_call *call;
+  uv_timer_t timer;
+  struct attempt_result last; /* why it has not been answered */
+};
+
+static void try_target (struct pending *p);
+
+/* The end of a request.  */
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+static void
+pending_free (struct pending *p)
+{
+  p->router->busy--;
+  routes_release (p->routes);
+  attempt_request_clear (&p->request);
+  g_ptr_array_free (p->tried, TRUE);
+  g_free (p->at);
+  uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
+}
+
+static void
+drop_attempt (struct pending *p)
+{
+  if (p->job != NULL)
+    gate_abandon (p->job);
+  if (p->call != NULL)
+    nodes_drop (p->call);
+  p->job = NULL;
+  p->call = NULL;
+}
+
+static void
+log_end (const struct pending *p, const struct attempt_result *r, int status,
+         int64_t now_ns)
+{
+  int took_ms = (int)((now_ns - p->arrived_ns) / NS_PER_MS);
+  bool plain = r->outcome == OUTCOME_ANSWERED && !r->failure && p->sends == 1
+               && now_ns <= p->request.wanted_ns;
+  if (plain)
+    return;
+  log_event (EV_REQUEST_ENDED,
+             "request=%s route=%s outcome=%s reason=%s status=%d took_ms=%d "
+             "sends=%u turns=%u at=%s key=%d lookup=%d routes=%" PRIu64,
+             p->request.id, p->route->name, outcome_word (r->outcome),
+             reason_word (r->reason), status, took_ms, p->sends, p->turns,
+             p->at == NULL ? "-" : p->at, p->request.key, p->request.lookup,
+             p->routes->version);
+}
+
+static void
+count_end (struct router *r, const struct attempt_result *result,
+           int64_t took_ns)
+{
+  static const enum counter counters[OUTCOME_COUNT]
+      = { [OUTCOME_PENDING] = COUNTER_unknown_total,
+          [OUTCOME_ANSWERED] = COUNTER_answered_total,
+          [OUTCOME_NOT_RUN] = COUNTER_not_run_total,
+          [OUTCOME_UNKNOWN] = COUNTER_unknown_total };
+  counter_add (counters[result->outcome], 1);
+  histogram_add (r->latency[result->outcome], took_ns / NS_PER_US);
+}
+
+/* When the caller may come back, as a field.  */
+static void
+append_retry_after (GString *head, int64_t wait_ns)
+{
+  double spread = 1 + g_random_double ();
+  if (wait_ns <= 0)
+    wait_ns = RETRY_AFTER_NS;
+  g_string_append_printf (head, "Retry-After: %.2f\r\n",
+                          (double)wait_ns / (double)NS_PER_S * spread);
+}
+
+static int
+own_status (const struct attempt_result *r)
+{
+  if (r->outcome == OUTCOME_NOT_RUN)
+    return 503;
+  return r->reason == REASON_DEADLINE ? 504 : 502;
+}
+
+/* Answer the caller with R.  */
+static void
+finish (struct pending *p, const struct attempt_result *r)
+{
+  int64_t now_ns = clock_now_ns ();
+  struct http_exchange *x = p->x;
+  GString *head = g_string_new (NULL);
+  int status = r->status;
+  const char *body = r->body;
+  size_t length = r->body_length;
+  if (r->outcome == OUTCOME_ANSWERED)
+    g_string_append_len (head, r->head, (gssize)r->head_length);
+  else
+    {
+      status = own_status (r);
+      body = reason_text (r->reason);
+      length = strlen (body);
+      if (r->outcome == OUTCOME_NOT_RUN)
+        append_retry_after (head, r->retry_after_ns);
+    }
+  log_end (p, r, status, now_ns);
+  count_end (p->router, r, now_ns - p->arrived_ns);
+  x->user = NULL;
+  pending_free (p);
+  http_answer (x, status, head->str, body, length);
+  g_string_free (head, TRUE);
+}
+
+static void
+finish_not_run (struct pending *p, enum reason reason, int64_t retry_after_ns)
+{
+  struct attempt_result r = p->in_doubt
+                                ? attempt_unknown (reason)
+                                : attempt_not_run (reason, retry_after_ns);
+  finish (p, &r);
+}
+
+static void
+on_gone (struct http_exchange *x)
+{
+  struct pending *p = x->user;
+  if (p == NULL)
+    return;
+  counter_add (COUNTER_callers_gone_total, 1);
+  log_event (EV_CALLER_GONE, "request=%s route=%s after_ms=%d sent=%u",
+             p->request.id, p->route->name,
+             (int)((clock_now_ns () - p->arrived_ns) / NS_PER_MS), p->sends);
+  drop_attempt (p);
+  pending_free (p);
+}
+
+/* Deadlines.  */
+
+static void
+on_deadline (uv_timer_t *timer)
+{
+  struct pending *p = timer->data;
+  bool sent = p->job != NULL || p->call != NULL;
+  struct attempt_result r = sent || p->in_doubt
+                                ? attempt_unknown (REASON_DEADLINE)
+                                : attempt_not_run (REASON_DEADLINE, 0);
+  drop_attempt (p);
+  finish (p, &r);
+}
+
+static void
+wait_deadline (struct pending *p, int64_t now_ns)
+{
+  int64_t ms = (p->request.deadline_ns - now_ns) / NS_PER_MS;
+  uv_timer_start (&p->timer, on_deadline,
+                  (uint64_t)(ms > 0 ? ms : 0) + ANSWER_SLACK_MS, 0);
+}
+
+static void
+on_look_again (uv_timer_t *timer)
+{
+  try_target (timer->data);
+}
+
+static void
+look_again (struct pending *p, int64_t pause_ns)
+{
+  int64_t ms = pause_ns / NS_PER_MS;
+  uv_timer_start (&p->timer, on_look_again, (uint64_t)(ms > 0 ? ms : 0), 0);
+}
+
+/* Sending again.  */
+
+static struct retry_budget *
+budget_of (struct router *r, const char *service)
+{
+  struct service_budget *b = g_hash_table_lookup (r->budgets, service);
+  if (b == NULL)
+    {
+      const struct settings *s = r->parts.settings;
+      struct retry_config config;
+      retry_config_defaults (&config);
+      config.ratio_pct = (uint32_t)(s->retry_ratio_pct * BUDGET_SHARE);
+      config.stored_max = s->retry_stored;
+      b = g_new0 (struct service_budget, 1);
+      retry_init (&b->budget, &config);
+      g_hash_table_insert (r->budgets, g_strdup (service), b);
+    }
+  return &b->budget;
+}
+
+static enum retry_outcome
+retry_outcome_of (const struct attempt_result *r)
+{
+  if (r->outcome == OUTCOME_ANSWERED)
+    return RETRY_ANSWERED;
+  if (r->outcome == OUTCOME_UNKNOWN)
+    return RETRY_UNKNOWN;
+  return RETRY_NOT_RUN;
+}
+
+static bool
+has_attempts (const struct pending *p)
+{
+  return p->tried->len < p->route->attempts_max;
+}
+
+/* Send the request again after R, which came from a target, or answer.  */
+static void
+retry_or_finish (struct pending *p, const struct attempt_result *r)
+{
+  int64_t now_ns = clock_now_ns ();
+  struct retry_case c = {
+    .outcome = retry_outcome_of (r),
+    .idempotent = p->request.idempotent,
+    .sends = p->sends,
+    .deadline_ns = p->request.deadline_ns,
+    .service_ns = paces_expect (p->router->paces, p->at, p->request.kind) / 2,
+    .random = g_random_int (),
+  };
+  struct retry_decision d = { .action = RETRY_GIVE_UP };
+  if (has_attempts (p))
+    d = retry_decide (budget_of (p->router, p->service->name), &c, now_ns);
+  if (d.action == RETRY_GIVE_UP)
+    {
+      if (p->in_doubt && r->outcome == OUTCOME_NOT_RUN)
+        finish_not_run (p, r->reason, 0);
+      else
+        finish (p, r);
+      return;
+    }
+  counter_add (COUNTER_retries_total, 1);
+  log_event (EV_REQUEST_SENT_AGAIN, "request=%s reason=%s sends=%u budget=%u",
+             p->request.id, reason_word (r->reason), p->sends,
+             retry_left (budget_of (p->router, p->service->name)));
+  look_again (p, d.action == RETRY_NOW ? 0 : d.at_ns - now_ns);
+}
+
+/* A node turned the request away: it did not reach the target.  */
+static void
+on_turned_away (struct pending *p, const struct attempt_result *r)
+{
+  int64_t now_ns = clock_now_ns ();
+  p->turns++;
+  p->last = *r;
+  bool keyed = p->request.key != ATTEMPT_NO_KEY;
+  bool moving = r->reason == REASON_NOT_OWNER || r->reason == REASON_MOVING
+                || r->reason == REASON_LEASE_LAPSED
+                || r->reason == REASON_TARGET_DOWN
+                || r->reason == REASON_DRAINING;
+  if (keyed && moving && now_ns < p->until_ns)
+    {
+      look_again (p, LOOK_AGAIN_MS * NS_PER_MS);
+      return;
+    }
+  if (!keyed && p->turns < TURNS_MAX && now_ns < p->request.deadline_ns)
+    {
+      g_ptr_array_add (p->tried, g_strdup (p->at));
+      try_target (p);
+      return;
+    }
+  finish_not_run (p, r->reason, r->retry_after_ns);
+}
+
+static void
+on_result (void *arg, const struct attempt_result *r)
+{
+  struct pending *p = arg;
+  struct router *router = p->router;
+  p->job = NULL;
+  p->call = NULL;
+  uv_timer_stop (&p->timer);
+  if (r->service_ns > 0 && (!r->failure || r->status == 504))
+    paces_learn (router->paces, p->at, p->request.kind, r->service_ns);
+  if (!r->arrived)
+    {
+      on_turned_away (p, r);
+      return;
+    }
+  p->sends++;
+  if (p->sends == 1)
+    retry_earn (budget_of (router, p->service->name));
+  if (p->request.key == ATTEMPT_NO_KEY)
+    g_ptr_array_add (p->tried, g_strdup (p->at));
+  if (r->outcome == OUTCOME_UNKNOWN)
+    p->in_doubt = true;
+  if (r->outcome == OUTCOME_ANSWERED && !r->failure)
+    finish (p, r);
+  else if (r->outcome == OUTCOME_ANSWERED)
+    finish (p, r);
+  else
+    retry_or_finish (p, r);
+}
+
+/* Choosing a target.  */
+
+struct choice
+{
+  struct pending *pending;
+  struct candidate list[CANDIDATES_MAX];
+  unsigned count;
+};
+
+static bool
+was_tried (const struct pending *p, const char *name)
+{
+  for (guint i = 0; i < p->tried->len; i++)
+    if (strcmp (g_ptr_array_index (p->tried, i), name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+add_peer (void *arg, const struct node_view *view)
+{
+  struct choice *c = arg;
+  const struct pending *p = c->pending;
+  if (strcmp (view->node->service, p->service->name) != 0)
+    return true;
+  c->list[c->count++] = (struct candidate){
+    .name = view->node->name,
+    .same_zone
+    = strcmp (view->node->zone, p->router->parts.settings->zone) == 0,
+    .tried = was_tried (p, view->node->name),
+    .load = view->state->load,
+    .sent_since = view->sent_since,
+  };
+  return c->count < CANDIDATES_MAX;
+}
+
+/* The node for a request without a key; NULL: none takes it.  */
+static const char *
+choose_target (struct pending *p, int64_t now_ns)
+{
+  static struct choice c; /* of the loop's thread */
+  const struct router_parts *parts = &p->router->parts;
+  c.pending = p;
+  c.count = 0;
+  if (strcmp (parts->settings->service, p->service->name) == 0)
+    c.list[c.count++] = (struct candidate){
+      .name = parts->settings->name,
+      .same_zone = true,
+      .tried = was_tried (p, parts->settings->name),
+      .load = gate_read_load (parts->gate, now_ns),
+    };
+  nodes_visit (parts->nodes, add_peer, &c);
+  int best = balance_pick (p->router->paces, c.list, c.count, p->request.kind,
+                           p->request.wanted_ns - now_ns);
+  return best < 0 ? NULL : c.list[best].name;
+}
+
+static const char *
+find_owner (const struct pending *p)
+{
+  const struct cell_member *m = owners_find (
+      p->router->parts.owners, p->service->name, (uint32_t)p->request.key);
+  return m == NULL ? NULL : m->name;
+}
+
+static void
+copy_request (struct attempt_request *to, const struct attempt_request *from)
+{
+  *to = *from;
+  to->head = g_string_new_len (from->head->str, (gssize)from->head->len);
+  to->body = g_string_new_len (from->body->str, (gssize)from->body->len);
+}
+
+/* Hand the request to the node NAME.  False when that is not reached.  */
+static bool
+send_to (struct pending *p, const char *name, int64_t now_ns)
+{
+  const struct router_parts *parts = &p->router->parts;
+  g_free (p->at);
+  p->at = g_strdup (name);
+  if (strcmp (name, parts->settings->name) == 0)
+    {
+      struct attempt_request copy;
+      copy_request (&copy, &p->request);
+      counter_add (COUNTER_requests_local_total, 1);
+      p->job = gate_send (parts->gate, &copy, on_result, p, now_ns);
+      return true;
+    }
+  p->call = nodes_send (parts->nodes, name, &p->request, on_result, p);
+  return p->call != NULL;
+}
+
+static void
+try_target (struct pending *p)
+{
+  int64_t now_ns = clock_now_ns ();
+  bool keyed = p->request.key != ATTEMPT_NO_KEY;
+  if (now_ns >= p->request.deadline_ns)
+    {
+      finish_not_run (p, REASON_DEADLINE, 0);
+      return;
+    }
+  const char *name = keyed ? find_owner (p) : choose_target (p, now_ns);
+  if (name != NULL && send_to (p, name, now_ns))
+    {
+      wait_deadline (p, now_ns);
+      return;
+    }
+  if (now_ns < p->until_ns)
+    {
+      look_again (p, LOOK_AGAIN_MS * NS_PER_MS);
+      return;
+    }
+  if (p->last.outcome == OUTCOME_NOT_RUN)
+    finish_not_run (p, p->last.reason, p->last.retry_after_ns);
+  else
+    finish_not_run (
+        p, name == NULL ? REASON_NO_OWNER : REASON_OWNER_UNREACHABLE, 0);
+}
+
+/* Arrival.  */
+
+static void
+refuse (struct http_exchange *x, int status, const char *why)
+{
+  log_event (EV_REQUEST_REFUSED, "status=%d why=\"%s\" target=%.100s", status,
+             why, x->target->str);
+  counter_add (COUNTER_not_run_total, 1);
+  GString *head = g_string_new (NULL);
+  if (status == 503)
+    append_retry_after (head, 0);
+  http_answer (x, status, head->str, why, strlen (why));
+  g_string_free (head, TRUE);
+}
+
+struct field_filter
+{
+  const struct dialect *dialect;
+};
+
+/* Fields that this node sets itself are not passed on.  */
+static bool
+keep_request_field (const char *name, const void *arg)
+{
+  const struct dialect *d = arg;
+  return strcasecmp (name, d->headers[HEADER_TIME_LEFT_MS]) != 0
+         && strcasecmp (name, d->headers[HEADER_TARGET_ID]) != 0
+         && strcasecmp (name, d->headers[HEADER_CALLER]) != 0;
+}
+
+static void
+write_head (struct pending *p)
+{
+  const struct router_parts *parts = &p->router->parts;
+  GString *head = g_string_new (NULL);
+  g_string_append_printf (head, "%s %s HTTP/1.1\r\n", p->x->method,
+                          p->x->target->str);
+  headers_copy (p->x->headers, head, keep_request_field, parts->dialect);
+  g_string_append_printf (head, "%s: %s\r\n",
+                          parts->dialect->headers[HEADER_CALLER],
+                          parts->settings->service);
+  p->request.head = head;
+  p->request.body
+      = g_string_new_len (p->x->body->str, (gssize)p->x->body->len);
+}
+
+static bool
+parse_decimal (const char *text, int64_t most, int64_t *value)
+{
+  char *end;
+  if (text == NULL || *text < '0' || *text > '9')
+    return false;
+  *value = g_ascii_strtoll (text, &end, 10);
+  return *end == '\0' && *value <= most;
+}
+
+/* How long the caller waits, milliseconds.  */
+static int64_t
+caller_wait_ms (const struct router *r, const struct http_exchange *x)
+{
+  const struct settings *s = r->parts.settings;
+  const char *name = r->parts.dialect->headers[HEADER_TIME_LEFT_MS];
+  int64_t ms;
+  if (!parse_decimal (headers_find (x->headers, name), INT32_MAX, &ms))
+    ms = s->deadline_ms;
+  return ms < s->deadline_max_ms ? ms : s->deadline_max_ms;
+}
+
+static void
+set_times (struct pending *p)
+{
+  struct attempt_request *q = &p->request;
+  int64_t wait_ms = caller_wait_ms (p->router, p->x);
+  int64_t wanted_ms = p->route->target_latency_ms;
+  if (wait_ms > p->route->timeout_ms)
+    wait_ms = p->route->timeout_ms;
+  if (wanted_ms > wait_ms)
+    wanted_ms = wait_ms;
+  q->deadline_ns = p->arrived_ns + wait_ms * NS_PER_MS;
+  q->wanted_ns = p->arrived_ns + wanted_ms * NS_PER_MS;
+  double share = q->lookup ? LOOKUP_WAIT_SHARE : OWNER_WAIT_SHARE;
+  p->until_ns
+      = p->arrived_ns + (int64_t)((double)wanted_ms * share) * NS_PER_MS;
+}
+
+static struct pending *
+pending_new (struct router *r, struct http_exchange *x, struct route *route,
+             const char *id)
+{
+  struct pending *p = g_new0 (struct pending, 1);
+  p->router = r;
+  p->x = x;
+  p->routes = routes_hold (r->routes);
+  p->route = route;
+  p->service = &g_array_index (r->routes->services, struct service_policy,
+                               route_pick (route));
+  p->arrived_ns = clock_now_ns ();
+  p->tried = g_ptr_array_new_with_free_func (g_free);
+  p->request.kind = XXH32 (route->name, strlen (route->name), 0);
+  p->request.lookup = x->from_own_instance;
+  p->request.idempotent = route->idempotent;
+  p->request.priority = route->priority;
+  p->request.key = ATTEMPT_NO_KEY;
+  g_strlcpy (p->request.id, id, sizeof p->request.id);
+  uv_timer_init (r->parts.loop, &p->timer);
+  p->timer.data = p;
+  x->user = p;
+  x->on_gone = on_gone;
+  r->busy++;
+  return p;
+}
+
+void
+router_take (void *router, struct http_exchange *x)
+{
+  struct router *r = router;
+  const struct dialect *d = r->parts.dialect;
+  const char *id = headers_find (x->headers, d->headers[HEADER_REQUEST_ID]);
+  const char *host = headers_find (x->headers, "Host");
+  int64_t key = 0;
+  counter_add (COUNTER_requests_total, 1);
+  if (id == NULL || strlen (id) >= ATTEMPT_ID_BYTES || host == NULL)
+    {
+      refuse (x, 400, "the request has no id or no host");
+      return;
+    }
+  if (r->routes == NULL)
+    {
+      refuse (x, 503, "no configuration is known yet");
+      return;
+    }
+  struct route *route = routes_find (r->routes, host, x->target->str);
+  if (route == NULL)
+    {
+      refuse (x, 404, "no route");
+      return;
+    }
+  struct pending *p = pending_new (r, x, route, id);
+  if (p->service->keyed)
+    {
+      const char *text = headers_find (x->headers, d->headers[HEADER_KEY]);
+      if (!parse_decimal (text, r->parts.settings->key_space - 1, &key))
+        {
+          x->on_gone = NULL;
+          pending_free (p);
+          refuse (x, 400, "the request has no key");
+          return;
+        }
+      p->request.key = (int32_t)key;
+    }
+  set_times (p);
+  write_head (p);
+  try_target (p);
+}
+
+struct router *
+router_open (const struct router_parts *parts)
+{
+  struct router *r = g_new0 (struct router, 1);
+  r->parts = *parts;
+  r->paces = paces_new ();
+  r->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (int i = 0; i < OUTCOME_COUNT; i++)
+    r->latency[i] = histogram_new ();
+  return r;
+}
+
+void
+router_set_routes (struct router *r, struct routes *routes)
+{
+  routes_release (r->routes);
+  r->routes = routes_hold (routes);
+}
+
+struct routes *
+router_routes (const struct router *r)
+{
+  return r->routes;
+}
+
+void
+router_forget (struct router *r, const char *name)
+{
+  paces_forget (r->paces, name);
+}
+
+unsigned
+router_busy (const struct router *r)
+{
+  return r->busy;
+}
+
+char *
+router_metrics (const struct router *r)
+{
+  static const double quantiles[] = { 50, 90, 99, 99.9 };
+  GString *out = g_string_new (
+      "# HELP crocusbend_latency_us time from a request's arrival to its "
+      "answer, microseconds\n# TYPE crocusbend_latency_us summary\n");
+  for (int i = OUTCOME_PENDING + 1; i < OUTCOME_COUNT; i++)
+    {
+      const struct histogram *h = r->latency[i];
+      const char *word = outcome_word ((enum outcome)i);
+      for (size_t q = 0; q < G_N_ELEMENTS (quantiles); q++)
+        g_string_append_printf (
+            out,
+            "crocusbend_latency_us{outcome=\"%s\",quantile=\"%g\"} %" PRId64
+            "\n",
+            word, quantiles[q] / 100, histogram_percentile (h, quantiles[q]));
+      g_string_append_printf (
+          out, "crocusbend_latency_us_count{outcome=\"%s\"} %" PRIu64 "\n",
+          word, histogram_count (h));
+    }
+  return g_string_free (out, FALSE);
+}
--- /dev/null
+++ b/src/mesh/target_state.c
@@ -0,0 +1,112 @@
+#include "mesh/target_state.h"
+
+#include "base/clock.h"
+#include <string.h>
+
+enum
+{
+  FIRST_SEQUENCE = 1
+};
+
+static bool
+is_ours (const struct target_report *r, const char *service,
+         const struct settings_address *address)
+{
+  return strcmp (r->service, service) == 0 && r->address.port == address->port
+         && strcmp (r->address.host, address->host) == 0;
+}
+
+static bool
+is_same_run (const struct target_view *v, const struct target_report *r)
+{
+  return strcmp (v->id, r->id) == 0 && v->started_ms == r->started_ms;
+}
+
+static enum target_change
+take_run (struct target_view *v, const struct target_report *r, int64_t now_ns)
+{
+  memcpy (v->id, r->id, sizeof v->id);
+  v->started_ms = r->started_ms;
+  v->sequence = r->sequence;
+  v->slots = r->slots;
+  v->cold_until_ns = now_ns + r->cold_ms * NS_PER_MS;
+  v->phase = r->state == TARGET_DRAINING ? TARGET_LEAVING : TARGET_SERVING;
+  v->other_id[0] = '\0';
+  return TARGET_NEW_RUN;
+}
+
+/* Whether the run that R is from started after the one believed in.  */
+static bool
+is_later_run (struct target_view *v, const struct target_report *r)
+{
+  if (r->started_ms != 0 && v->started_ms != 0)
+    return r->started_ms > v->started_ms;
+  if (r->sequence <= FIRST_SEQUENCE)
+    return true;
+  bool again = strcmp (v->other_id, r->id) == 0
+               && r->sequence > v->other_sequence;
+  memcpy (v->other_id, r->id, sizeof v->other_id);
+  v->other_sequence = r->sequence;
+  return again;
+}
+
+enum target_change
+target_view_report (struct target_view *v, const struct target_report *r,
+                    const char *service,
+                    const struct settings_address *address, int64_t now_ns)
+{
+  if (!is_ours (r, service, address))
+    return TARGET_IGNORED_FOREIGN;
+  if (v->phase == TARGET_UNKNOWN)
+    return take_run (v, r, now_ns);
+  if (!is_same_run (v, r))
+    return is_later_run (v, r) ? take_run (v, r, now_ns) : TARGET_IGNORED_OLD;
+  if (r->sequence <= v->sequence)
+    return TARGET_IGNORED_OLD;
+  v->other_id[0] = '\0';
+  v->sequence = r->sequence;
+  v->slots = r->slots;
+  v->cold_until_ns = now_ns + r->cold_ms * NS_PER_MS;
+  if (v->phase == TARGET_LEAVING)
+    return TARGET_SAME;
+  if (r->state == TARGET_DRAINING)
+    {
+      v->phase = TARGET_LEAVING;
+      return TARGET_DRAINS;
+    }
+  if (v->phase == TARGET_DOWN)
+    {
+      v->phase = TARGET_SERVING;
+      return TARGET_BACK;
+    }
+  return TARGET_SAME;
+}
+
+enum target_change
+target_view_gone (struct target_view *v, const char *id, int64_t started_ms)
+{
+  if (v->phase == TARGET_UNKNOWN || strcmp (v->id, id) != 0
+      || (started_ms != 0 && started_ms != v->started_ms))
+    return TARGET_IGNORED_OLD;
+  if (v->phase == TARGET_LEAVING)
+    return TARGET_SAME;
+  v->phase = TARGET_LEAVING;
+  return TARGET_DRAINS;
+}
+
+bool
+target_view_refused (struct target_view *v)
+{
+  if (v->phase != TARGET_SERVING)
+    return false;
+  v->phase = TARGET_DOWN;
+  return true;
+}
+
+const char *
+target_change_word (enum target_change change)
+{
+  static const char *const words[]
+      = { "foreign", "old", "same", "new-run", "back", "drains" };
+  return words[change];
+}
--- a/src/own/agent.c
+++ b/src/own/agent.c
@@ -336,6 +336,7 @@
   set_text (a->service, sizeof a->service, config->service);
   a->service_hash = (uint32_t)XXH3_64bits (a->service, strlen (a->service));
   a->slots = or_default (config->slots, CELL_SLOTS_MAX);
+  a->key_space = config->key_space;
   a->policy = config->policy;
   a->renew_ns = or_default (config->renew_ms, RENEW_MS) * NS_PER_MS;
   a->move_ns = or_default (config->move_ms, MOVE_MS) * NS_PER_MS;
--- a/src/own/agent.h
+++ b/src/own/agent.h
@@ -40,11 +40,12 @@
      document that names an earlier run with the same place and peers'
      address is proof that the earlier process has ended.  */
   const char *place;
-  uint32_t weight;   /* target slots; 0 counts as 1 */
-  uint32_t slots;    /* of a new cell; 0: CELL_SLOTS_MAX */
-  uint32_t term_ms;  /* lease; 0: 400 */
-  uint32_t renew_ms; /* 0: 133 */
-  uint32_t move_ms;  /* longest wait for closed slots; 0: 2000 */
+  uint32_t weight;    /* target slots; 0 counts as 1 */
+  uint32_t slots;     /* of a new cell; 0: CELL_SLOTS_MAX */
+  uint32_t key_space; /* of a new cell; see struct cell */
+  uint32_t term_ms;   /* lease; 0: 400 */
+  uint32_t renew_ms;  /* 0: 133 */
+  uint32_t move_ms;   /* longest wait for closed slots; 0: 2000 */
   enum settings_policy policy;
   uint64_t seed; /* of the jitter */
 };
--- a/src/own/agent_state.h
+++ b/src/own/agent_state.h
@@ -109,6 +109,7 @@
   struct cell_member me; /* as announced */
   char service[SETTINGS_NAME_BYTES];
   uint32_t service_hash;
+  uint32_t key_space;
   uint32_t slots;
   enum settings_policy policy;
   int64_t renew_ns;
--- a/src/own/agent_store.c
+++ b/src/own/agent_store.c
@@ -99,6 +99,8 @@
                           : cell_copy (a->cell);
   if (next == NULL)
     return NULL;
+  if (next->serial == 0)
+    next->key_space = a->key_space;
   snprintf (a->store.change, sizeof a->store.change, "%08x-%u", a->tag,
             ++a->changes);
   cell_begin (next, a->store.change);
--- a/src/own/cell.c
+++ b/src/own/cell.c
@@ -10,6 +10,7 @@
 enum
 {
   FORMAT_VERSION = 1,
+  KEY_DIGITS_MAX = 9,
   PIN_ITEMS = 3 /* and a 1 more for a key that was hot */
 };
 
@@ -266,23 +267,27 @@
   json_int_t serial;
   json_int_t next;
   json_int_t slot_count;
+  json_int_t key_space = 0;
   const char *service;
   const char *change;
   json_t *members;
   json_t *slots;
   json_t *pins;
-  if (json_unpack_ex (
-          root, NULL, JSON_STRICT, "{s:I,s:s,s:I,s:s,s:I,s:I,s:o,s:o,s:o}",
-          "version", &version, "service", &service, "serial", &serial,
-          "change", &change, "next_incarnation", &next, "slot_count",
-          &slot_count, "members", &members, "slots", &slots, "pins", &pins)
+  if (json_unpack_ex (root, NULL, JSON_STRICT,
+                      "{s:I,s:s,s:I,s:s,s:I,s:I,s?I,s:o,s:o,s:o}", "version",
+                      &version, "service", &service, "serial", &serial,
+                      "change", &change, "next_incarnation", &next,
+                      "slot_count", &slot_count, "key_space", &key_space,
+                      "members", &members, "slots", &slots, "pins", &pins)
       != 0)
     return bad ("a field is absent or unknown");
   if (version != FORMAT_VERSION)
     return bad ("another version");
   if (!to_u32 (serial, &cell->serial) || cell->serial == 0
       || !to_u32 (next, &cell->next_incarnation) || cell->next_incarnation == 0
-      || slot_count < 1 || slot_count > CELL_SLOTS_MAX)
+      || slot_count < 1 || slot_count > CELL_SLOTS_MAX
+      || !to_u32 (key_space, &cell->key_space)
+      || (key_space != 0 && key_space < slot_count))
     return bad ("a number is out of range");
   cell->slot_count = (uint32_t)slot_count;
   if (!copy_text (cell->service, sizeof cell->service, service)
@@ -390,6 +395,8 @@
       format_pins (cell));
   if (root == NULL)
     return NULL;
+  if (cell->key_space > 0)
+    json_object_set_new (root, "key_space", json_integer (cell->key_space));
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   if (text != NULL)
@@ -453,9 +460,36 @@
   return id == MEMBER_NONE ? NULL : &cell->members[id];
 }
 
+/* Read KEY as a decimal number of the cell's key space.  */
+static bool
+key_number (const struct cell *cell, const char *key, size_t length,
+            uint32_t *number)
+{
+  uint64_t value = 0;
+  if (length == 0 || length > KEY_DIGITS_MAX)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    {
+      if (key[i] < '0' || key[i] > '9')
+        return false;
+      value = value * 10 + (uint64_t)(key[i] - '0');
+    }
+  *number = (uint32_t)value;
+  return value < cell->key_space;
+}
+
+uint32_t
+cell_slot_of_number (const struct cell *cell, uint32_t number)
+{
+  return (uint32_t)((uint64_t)number * cell->slot_count / cell->key_space);
+}
+
 uint32_t
 cell_slot_of (const struct cell *cell, const char *key, size_t length)
 {
+  uint32_t number;
+  if (cell->key_space > 0 && key_number (cell, key, length, &number))
+    return cell_slot_of_number (cell, number);
   return (uint32_t)(XXH3_64bits (key, length) % cell->slot_count);
 }
 
--- a/src/own/cell.h
+++ b/src/own/cell.h
@@ -73,6 +73,9 @@
   uint32_t next_incarnation;
   uint32_t member_count;
   uint32_t slot_count;
+  /* 0: keys are hashed to slots.  Else keys are numbers below this, and each
+     slot holds a run of neighbours.  */
+  uint32_t key_space;
   uint32_t pin_count;
   struct cell_member members[CELL_MEMBERS_MAX];
   struct cell_slot slots[CELL_SLOTS_MAX];
@@ -119,6 +122,9 @@
 uint32_t cell_slot_of (const struct cell *cell, const char *key,
                        size_t length);
 
+/* The slot of the key NUMBER, below the cell's key space.  */
+uint32_t cell_slot_of_number (const struct cell *cell, uint32_t number);
+
 /* The owner of KEY: that of its pin, else that of its slot.  */
 struct cell_owner cell_owner_of (const struct cell *cell, const char *key,
                                  size_t length);
--- a/src/own/place.c
+++ b/src/own/place.c
@@ -327,17 +327,36 @@
   return count;
 }
 
+/* Give neighbours to the same member: how many slots each one gets stays, and
+   runs of slots stay long.  */
+static void
+gather (struct place_move *moves, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    for (uint32_t k = i + 1, at = i + 1; k < count; k++)
+      if (moves[k].to == moves[i].to)
+        {
+          uint32_t to = moves[at].to;
+          moves[at++].to = moves[k].to;
+          moves[k].to = to;
+        }
+}
+
 uint32_t
 place_rebalance (const struct cell *cell, uint32_t owner,
                  const struct place_loads *loads, enum settings_policy policy,
                  struct place_move *moves, uint32_t max)
 {
+  uint32_t count;
   member_id from = cell_find (cell, owner);
   if (from == MEMBER_NONE || cell->members[from].state != MEMBER_ACTIVE)
     return 0;
   if (place_by_load (cell, loads, policy))
-    return rebalance_by_load (cell, from, loads, moves, max);
-  return rebalance_by_count (cell, from, policy, moves, max);
+    count = rebalance_by_load (cell, from, loads, moves, max);
+  else
+    count = rebalance_by_count (cell, from, policy, moves, max);
+  gather (moves, count);
+  return count;
 }
 
 uint32_t
--- a/src/route/ownd.c
+++ b/src/route/ownd.c
@@ -65,7 +65,7 @@
   struct agent *agent;
   struct map_view *view; /* scratch of publish */
   struct closing closing;
-  char document_key[STOREQ_KEY_BYTES];
+  char document_key[STORE_JOB_KEY_BYTES];
   int udp;
   uint32_t looking; /* set while ownd_look's fetch is under way */
   uint32_t left;    /* set when the agent has left */
--- a/src/settings/catalogue.c
+++ b/src/settings/catalogue.c
@@ -66,6 +66,7 @@
       break;
     case SETTING_NAME:
     case SETTING_PREFIX:
+    case SETTING_TEXT:
       printf ("length %" PRIu32 " to %" PRIu32, def->low, def->high);
       break;
     case SETTING_ADDRESS:
--- a/src/settings/schema.c
+++ b/src/settings/schema.c
@@ -28,6 +28,7 @@
   [SETTING_SWITCH] = "yes or no",
   [SETTING_POLICY] = "unavailable-time-first or imbalance-first",
   [SETTING_LEVEL] = "debug, info, warning or error",
+  [SETTING_TEXT] = "a text",
 };
 
 typedef bool parse_fn (void *field, const struct setting *def,
@@ -203,11 +204,22 @@
   return refuse (problem, text, type_texts[SETTING_LEVEL]);
 }
 
+static bool
+parse_text (void *field, const struct setting *def, const char *text,
+            char *problem)
+{
+  if (!has_length (def, text, problem))
+    return false;
+  strcpy ((char *)field, text);
+  return true;
+}
+
 static parse_fn *const parsers[SETTING_TYPE_COUNT] = {
   [SETTING_NAME] = parse_name,       [SETTING_PREFIX] = parse_prefix,
   [SETTING_ADDRESS] = parse_address, [SETTING_ADDRESSES] = parse_address,
   [SETTING_NUMBER] = parse_number,   [SETTING_SWITCH] = parse_switch,
   [SETTING_POLICY] = parse_policy,   [SETTING_LEVEL] = parse_level,
+  [SETTING_TEXT] = parse_text,
 };
 
 static bool
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -13,6 +13,7 @@
 {
   SETTINGS_NAME_BYTES = 64,
   SETTINGS_HOST_BYTES = 64,
+  SETTINGS_TEXT_BYTES = 2048,
   SETTINGS_STORES_MAX = 5
 };
 
@@ -38,11 +39,14 @@
   char zone[SETTINGS_NAME_BYTES];
   char rack[SETTINGS_NAME_BYTES]; /* may be empty */
   char service[SETTINGS_NAME_BYTES];
+  char bounds[SETTINGS_TEXT_BYTES]; /* may be empty */
   /* listen */
   struct settings_address callers;
   struct settings_address peers; /* TCP for requests, UDP for leases */
   struct settings_address peers_announced; /* port 0: PEERS itself */
   struct settings_address operator_address;
+  struct settings_address ready;   /* port 0: none */
+  struct settings_address targets; /* port 0: none */
   /* target */
   struct settings_address target;
   uint32_t target_slots;       /* requests the target runs at once */
@@ -62,6 +66,12 @@
   /* lease */
   uint32_t lease_term_ms;
   uint32_t lease_renew_ms;
+  /* ownership */
+  uint32_t key_space; /* 0: keys are texts */
+  uint32_t hold_max_ms;
+  /* retry */
+  uint32_t retry_ratio_pct;
+  uint32_t retry_stored;
   /* placement and log */
   enum settings_policy policy;
   enum log_level log_level;
--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -610,6 +610,34 @@
   while (true);
 }
 
+static enum status
+etcd_list (struct store *st, const char *prefix, store_watch_fn *fn, void *arg)
+{
+  struct etcd *e = (struct etcd *)st;
+  GString *body = g_string_new ("{");
+  json_t *reply;
+  append_prefix (body, prefix);
+  g_string_append_c (body, '}');
+  enum status status = call (e, CALL_READ, "/v3/kv/range", body, &reply);
+  if (status != STATUS_OK)
+    return status;
+  const json_t *kvs = json_object_get (reply, "kvs");
+  bool more = true;
+  for (size_t i = 0; more && i < json_array_size (kvs); i++)
+    {
+      const json_t *kv = json_array_get (kvs, i);
+      struct store_value value = { .seen = header_revision (reply) };
+      size_t length = 0;
+      char *key = member_bytes (kv, "key", &length);
+      status = key == NULL ? STATUS_NO_MEMORY : fill_value (kv, &value);
+      more = status == STATUS_OK && fn (arg, key, &value);
+      store_value_clear (&value);
+      free (key);
+    }
+  json_decref (reply);
+  return status;
+}
+
 static enum status
 etcd_watch (struct store *st, const char *prefix, int64_t from,
             store_watch_fn *fn, void *arg, const int *stop)
@@ -659,7 +687,7 @@
 }
 
 static const struct store_ops etcd_ops
-    = { etcd_get,         etcd_swap,  etcd_lease_grant,
+    = { etcd_get,         etcd_list,  etcd_swap, etcd_lease_grant,
         etcd_lease_renew, etcd_watch, etcd_free };
 
 static void
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -42,6 +42,10 @@
      answer) or STATUS_UNAVAILABLE on failure.  */
   enum status (*get) (struct store *st, const char *key,
                       struct store_value *value);
+  /* Report the keys that begin with PREFIX and their values, in the order of
+     the keys; not a snapshot.  STATUS_OK also when FN ended it.  */
+  enum status (*list) (struct store *st, const char *prefix,
+                       store_watch_fn *fn, void *arg);
   /* Set KEY to DATA if its revision is EXPECTED (0: the key is absent).
      LEASE 0, or the lease whose end deletes the key.  On STATUS_OK *REVISION
      is the new one.  STATUS_CONFLICT: another revision, nothing was written.
