--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -18,6 +18,10 @@
 #define GRANT_MARGIN_NS (100 * NS_PER_MS)
 /* No grant is made that is shorter: it would lapse before the next one.  */
 #define GRANT_LEAST_NS (150 * NS_PER_MS)
+/* A target ends work with a failure at the end of the grant under which it
+   began, whatever came since: so grants are long, and are renewed when this
+   part of one is used up.  */
+#define GRANT_FRESH 0.8
 /* Longest wait for the target's answer to a grant: it answers in a
    moment or is not there.  */
 #define GRANT_TIMEOUT_MS 300
@@ -230,7 +234,8 @@
       || now_ns < k->grant_after_ns || k->token == 0)
     return;
   uint32_t from = 0;
-  while (holdings_due (k->holdings, from, now_ns, hold_ns / 2, &run))
+  while (holdings_due (k->holdings, from, now_ns,
+                       (int64_t)((double)hold_ns * GRANT_FRESH), &run))
     {
       char handover[sizeof ((struct frame_handover *)0)->token];
       struct token *t = cut_at_token (k, &run, now_ns);
