--- a/src/http/client.c
+++ b/src/http/client.c
@@ -281,7 +281,7 @@
   struct connection *c = stream->data;
   if (c->closed || length == 0)
     return;
-  if (length == UV_EOF)
+  if (length == UV_EOF && net_ended_cleanly (stream))
     {
       on_end (c);
       return;
--- a/src/http/net.c
+++ b/src/http/net.c
@@ -65,6 +65,16 @@
   return uv_stream_get_write_queue_size (stream);
 }
 
+bool
+net_ended_cleanly (const uv_stream_t *stream)
+{
+  uv_os_fd_t fd;
+  char byte;
+  if (uv_fileno ((const uv_handle_t *)stream, &fd) != 0)
+    return false;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void
 net_tune (uv_tcp_t *tcp, unsigned silence_ms)
 {
--- a/src/http/net.h
+++ b/src/http/net.h
@@ -16,6 +16,10 @@
 /* Bytes that the loop still has to write.  */
 size_t net_unsent (const uv_stream_t *stream);
 
+/* Whether STREAM, of which libuv told the end, was closed by its peer and not
+   reset: after a short read libuv tells a reset as an end.  */
+bool net_ended_cleanly (const uv_stream_t *stream);
+
 /* No delay, and an end to a connection whose peer is silent for SILENCE_MS
    (the kernel's user timeout and keep-alive probes).  */
 void net_tune (uv_tcp_t *tcp, unsigned silence_ms);
--- a/src/mesh/dialect.h
+++ b/src/mesh/dialect.h
@@ -94,10 +94,14 @@
   /* Whole requests that grant and release keys; the caller frees them.  */
   GString *(*write_grant) (const struct key_order *order);
   GString *(*write_release) (const struct key_order *order);
-  /* Put into S what the platform's bounds (S->bounds) say.  */
-  void (*apply_bounds) (struct settings *s);
+  /* Put into S what the platform's bounds (S->bounds) say.  STATUS_INVALID
+     with a message when they cannot be read; S is unchanged then.  */
+  enum status (*apply_bounds) (struct settings *s);
   /* The store, as the settings tell.  */
   struct store *(*open_store) (const struct settings *s);
+  /* Let each wait of the watches of ST, from the next one on, end after
+     WAIT_MS at the latest.  Any thread.  */
+  void (*set_watch_wait) (struct store *st, uint32_t wait_ms);
 };
 
 #endif
--- a/src/mesh/holdings.c
+++ b/src/mesh/holdings.c
@@ -206,6 +206,19 @@
   return until_ns;
 }
 
+void
+holdings_lost (struct holdings *h, uint32_t key)
+{
+  h->keys[key].surely_ns = 0;
+}
+
+void
+holdings_assume (struct holdings *h, int64_t until_ns)
+{
+  for (uint32_t i = 0; i < h->count; i++)
+    h->keys[i].perhaps_ns = later (h->keys[i].perhaps_ns, until_ns);
+}
+
 void
 holdings_forget (struct holdings *h)
 {
--- a/src/mesh/holdings.h
+++ b/src/mesh/holdings.h
@@ -72,6 +72,13 @@
 /* Until when the target may hold one of the closed keys; 0: none.  */
 int64_t holdings_closed_until (const struct holdings *h);
 
+/* The target says that it does not hold KEY: that may be wrong, but it is to
+   be granted anew.  */
+void holdings_lost (struct holdings *h, uint32_t key);
+
+/* An earlier run of this node may have granted any key, until UNTIL_NS.  */
+void holdings_assume (struct holdings *h, int64_t until_ns);
+
 /* The target started anew: it holds nothing.  */
 void holdings_forget (struct holdings *h);
 
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -600,6 +600,10 @@
   k->lease_ns = AGENT_NEVER_NS;
   k->holdings = holdings_new (parts->settings->key_space);
   k->tokens = g_array_new (FALSE, FALSE, sizeof (struct token));
+  /* No grant of an earlier run was longer than the lease.  */
+  holdings_assume (k->holdings,
+                   clock_now_ns ()
+                       + parts->settings->lease_term_ms * NS_PER_MS);
   uv_udp_init (parts->loop, &k->udp);
   uv_timer_init (parts->loop, &k->timer);
   k->udp.data = k;
@@ -690,8 +694,7 @@
 void
 keys_refused (struct keys *k, uint32_t key)
 {
-  struct key_run run = { key, key };
-  holdings_released (k->holdings, &run, true);
+  holdings_lost (k->holdings, key);
   work (k);
 }
 
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -11,8 +11,8 @@
 #include "http/client.h"
 #include "limit/reason.h"
 #include "mesh/dialect.h"
-#include "mesh/owners.h"
 #include "mesh/nodes.h"
+#include "mesh/owners.h"
 #include "store/worker.h"
 #include <uv.h>
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -6,8 +6,8 @@
 #include "http/server.h"
 #include "mesh/gate.h"
 #include "mesh/keys.h"
-#include "mesh/owners.h"
 #include "mesh/nodes.h"
+#include "mesh/owners.h"
 #include "mesh/router.h"
 #include "mesh/watcher.h"
 #include "settings/address.h"
@@ -32,6 +32,12 @@
 #define LIST_AGAIN_MS 500
 /* Look at the load of the target for the placement of keys.  */
 #define LOAD_MS 250
+/* The first nodes by name follow the configuration closely: a watch of the
+   store may miss a change until its wait ends.  The others hear of it from
+   them, and watch in case that they do not.  */
+#define CLOSE_WATCHERS 2
+#define CLOSE_WAIT_MS 1000
+#define FAR_WAIT_MS 8000
 /* Pause between looks at whether all work has ended, when stopping.  */
 #define STOP_LOOK_MS 50
 /* Callers stop using a node that is not ready after about this.  */
@@ -60,6 +66,7 @@
   uv_prepare_t before_sleep;
   struct store_worker *worker;
   struct watcher *watcher;
+  struct store *watched; /* the watcher's */
   struct gate *gate;
   struct keys *keys;
   struct nodes *nodes;
@@ -169,6 +176,7 @@
   enum target_call call;
   struct target_report report;
   enum target_change change;
+  bool known = m->target.phase != TARGET_UNKNOWN;
   enum status s = m->dialect->read_target_call (
       x->method, x->target->str, x->body->str, x->body->len, &call, &report);
   if (s != STATUS_OK)
@@ -187,7 +195,7 @@
                                  &m->settings->target, clock_now_ns ());
   log_report (m, &report, change);
   if (change >= TARGET_NEW_RUN)
-    follow_target (m, change == TARGET_NEW_RUN);
+    follow_target (m, known && change == TARGET_NEW_RUN);
   else if (change == TARGET_SAME)
     gate_follow (m->gate, &m->target, false, clock_now_ns ());
   const char *body = m->dialect->heartbeat_answer ();
@@ -511,10 +519,34 @@
     }
 }
 
+struct before_me
+{
+  const char *name;
+  unsigned count;
+};
+
+static bool
+count_before (void *arg, const struct node_view *view)
+{
+  struct before_me *b = arg;
+  b->count += strcmp (view->node->name, b->name) < 0;
+  return true;
+}
+
+static void
+choose_watch_wait (struct mesh *m)
+{
+  struct before_me b = { m->settings->name, 0 };
+  nodes_visit (m->nodes, count_before, &b);
+  m->dialect->set_watch_wait (
+      m->watched, b.count < CLOSE_WATCHERS ? CLOSE_WAIT_MS : FAR_WAIT_MS);
+}
+
 static void
 on_load_timer (uv_timer_t *timer)
 {
   struct mesh *m = timer->data;
+  choose_watch_wait (m);
   struct gate_load load = gate_read_load (m->gate, clock_now_ns ());
   uint32_t slots = load.slots > 0 ? load.slots : 1;
   keys_set_load (m->keys, (load.running + load.waiting) * 100 / slots);
@@ -529,10 +561,15 @@
   int64_t since_ns = clock_now_ns () - m->stopping_ns;
   bool idle = router_busy (m->router) == 0 && gate_busy (m->gate) == 0
               && keys_has_left (m->keys);
+  bool late = since_ns > m->settings->drain_ms * NS_PER_MS;
   if (since_ns > STOP_QUIET_NS)
-    http_server_close_idle (m->callers);
-  if ((idle && since_ns > STOP_QUIET_NS)
-      || since_ns > m->settings->drain_ms * NS_PER_MS)
+    {
+      router_close (m->router);
+      http_server_close_idle (m->callers);
+    }
+  if (late)
+    router_end (m->router);
+  if (late || (idle && since_ns > STOP_QUIET_NS))
     uv_stop (&m->loop);
 }
 
@@ -666,7 +703,8 @@
   log_to_output ();
   log_set_level (settings->log_level);
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  dialect->apply_bounds (settings);
+  if (dialect->apply_bounds (settings) != STATUS_OK)
+    log_event (EV_BOUNDS_UNREAD, "cause=\"%s\"", status_message ());
   uv_loop_init (&m.loop);
   fill_self (&m);
   m.inbox = inbox_new (inbox_capacity (INBOX_ITEMS));
@@ -675,8 +713,9 @@
     s = open_servers (&m);
   if (s == STATUS_OK)
     {
-      m.watcher = watcher_start (dialect->open_store (settings),
-                                 dialect->configuration_key, m.inbox);
+      m.watched = dialect->open_store (settings);
+      m.watcher
+          = watcher_start (m.watched, dialect->configuration_key, m.inbox);
       s = m.watcher == NULL ? STATUS_SYSTEM : STATUS_OK;
     }
   if (s != STATUS_OK)
@@ -684,8 +723,12 @@
       log_event (EV_START_FAILED, "cause=\"%s\"", status_message ());
       return EXIT_FAILURE;
     }
-  log_event (EV_STARTED, "node=%s service=%s zone=%s run=%" PRIu64,
-             settings->name, settings->service, settings->zone, m.self.run);
+  log_event (EV_STARTED,
+             "node=%s service=%s zone=%s run=%" PRIu64
+             " drain_ms=%u hold_max_ms=%u retry_pct=%u retry_stored=%u",
+             settings->name, settings->service, settings->zone, m.self.run,
+             settings->drain_ms, settings->hold_max_ms,
+             settings->retry_ratio_pct, settings->retry_stored);
   start_events (&m);
   uv_run (&m.loop, UV_RUN_DEFAULT);
   log_event (EV_STOPPED, "node=%s after_ms=%d", settings->name,
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -44,12 +44,14 @@
   struct paces *paces;
   GHashTable *budgets; /* struct service_budget by service */
   struct histogram *latency[OUTCOME_COUNT]; /* microseconds */
-  unsigned busy;
+  GQueue pending; /* struct pending without an answer */
+  bool closed;
 };
 
 struct pending
 {
   struct router *router;
+  GList link;
   struct http_exchange *x;
   struct routes *routes; /* held */
   const struct route *route;
@@ -81,7 +83,7 @@
 static void
 pending_free (struct pending *p)
 {
-  p->router->busy--;
+  g_queue_unlink (&p->router->pending, &p->link);
   routes_release (p->routes);
   attempt_request_clear (&p->request);
   g_ptr_array_free (p->tried, TRUE);
@@ -203,18 +205,23 @@
 
 /* Deadlines.  */
 
+/* Answer without waiting for the target any longer.  */
 static void
-on_deadline (uv_timer_t *timer)
+end_early (struct pending *p, enum reason reason)
 {
-  struct pending *p = timer->data;
   bool sent = p->job != NULL || p->call != NULL;
-  struct attempt_result r = sent || p->in_doubt
-                                ? attempt_unknown (REASON_DEADLINE)
-                                : attempt_not_run (REASON_DEADLINE, 0);
+  struct attempt_result r = sent || p->in_doubt ? attempt_unknown (reason)
+                                                : attempt_not_run (reason, 0);
   drop_attempt (p);
   finish (p, &r);
 }
 
+static void
+on_deadline (uv_timer_t *timer)
+{
+  end_early (timer->data, REASON_DEADLINE);
+}
+
 static void
 wait_deadline (struct pending *p, int64_t now_ns)
 {
@@ -587,7 +594,8 @@
   p->timer.data = p;
   x->user = p;
   x->on_gone = on_gone;
-  r->busy++;
+  p->link.data = p;
+  g_queue_push_tail_link (&r->pending, &p->link);
   return p;
 }
 
@@ -610,6 +618,11 @@
       refuse (x, 503, "no configuration is known yet");
       return;
     }
+  if (r->closed)
+    {
+      refuse (x, 503, "the node stops");
+      return;
+    }
   struct route *route = routes_find (r->routes, host, x->target->str);
   if (route == NULL)
     {
@@ -646,6 +659,20 @@
   return r;
 }
 
+void
+router_close (struct router *r)
+{
+  r->closed = true;
+}
+
+void
+router_end (struct router *r)
+{
+  GList *link;
+  while ((link = g_queue_peek_head_link (&r->pending)) != NULL)
+    end_early (link->data, REASON_DRAINING);
+}
+
 void
 router_set_routes (struct router *r, struct routes *routes)
 {
@@ -668,7 +695,7 @@
 unsigned
 router_busy (const struct router *r)
 {
-  return r->busy;
+  return g_queue_get_length ((GQueue *)&r->pending);
 }
 
 char *
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -7,8 +7,8 @@
 #include "http/server.h"
 #include "mesh/dialect.h"
 #include "mesh/gate.h"
-#include "mesh/owners.h"
 #include "mesh/nodes.h"
+#include "mesh/owners.h"
 #include "mesh/routes.h"
 #include <uv.h>
 
@@ -32,6 +32,12 @@
 /* The routes in force; NULL: none yet.  */
 struct routes *router_routes (const struct router *r);
 
+/* From now on refuse requests that arrive: the node stops.  */
+void router_close (struct router *r);
+
+/* Answer all requests that are left: the node ends.  */
+void router_end (struct router *r);
+
 /* Take a caller's request.  A http_handler.  */
 void router_take (void *router, struct http_exchange *x);
 
--- a/src/mesh/target_state.c
+++ b/src/mesh/target_state.c
@@ -43,8 +43,8 @@
     return r->started_ms > v->started_ms;
   if (r->sequence <= FIRST_SEQUENCE)
     return true;
-  bool again = strcmp (v->other_id, r->id) == 0
-               && r->sequence > v->other_sequence;
+  bool again
+      = strcmp (v->other_id, r->id) == 0 && r->sequence > v->other_sequence;
   memcpy (v->other_id, r->id, sizeof v->other_id);
   v->other_sequence = r->sequence;
   return again;
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include <ck_pr.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -99,14 +100,13 @@
         }
       enum status s = w->store->ops->watch (w->store, w->key, w->seen,
                                             on_change, w, &w->stopping);
+      if (s != STATUS_OK)
+        log_event (EV_WATCH_LOST, "key=%s seen=%" PRId64 " cause=\"%s\"",
+                   w->key, w->seen, status_message ());
       if (s == STATUS_STALE)
         known = false;
-      else if (s != STATUS_OK)
-        {
-          log_event (EV_WATCH_LOST, "key=%s cause=\"%s\"", w->key,
-                     status_message ());
-          pause_after_failure (w);
-        }
+      if (s != STATUS_OK)
+        pause_after_failure (w);
     }
   return NULL;
 }
