--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -123,7 +123,13 @@
   struct keys *k = o->keys;
   int64_t now_ns = clock_now_ns ();
   if (reply->result == HTTP_ANSWERED && reply->status == 200)
-    holdings_granted (k->holdings, &o->run, o->sent_ns, o->hold_ns, now_ns);
+    {
+      /* Renewals are counted only.  */
+      if (!holdings_serve (k->holdings, o->run.from, now_ns)
+          || !holdings_serve (k->holdings, o->run.to, now_ns))
+        log_order (o, "granted");
+      holdings_granted (k->holdings, &o->run, o->sent_ns, o->hold_ns, now_ns);
+    }
   else if (reply->result == HTTP_ANSWERED || reply->result == HTTP_NOT_SENT)
     {
       log_order (o, reply->result == HTTP_NOT_SENT ? "not-sent" : "refused");
@@ -497,6 +503,8 @@
         holdings_close (k->holdings, number, closed);
       return;
     }
+  /* Also keys of the slots that are pinned elsewhere: one that comes back
+     while its slot moves must not be granted here.  */
   for (uint32_t i = 0; i < move->slot_count; i++)
     {
       uint32_t slot = move->slots[i];
@@ -506,8 +514,7 @@
       uint32_t end = (uint32_t)(((slot + 1) * space + cell->slot_count - 1)
                                 / cell->slot_count);
       for (uint32_t key = from; key < end && key < space; key++)
-        if (holdings_is_mine (k->holdings, key))
-          holdings_close (k->holdings, key, closed);
+        holdings_close (k->holdings, key, closed);
     }
 }
 
