--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -37,6 +37,7 @@
   uv_idle_t turn; /* runs while decisions wait to be told */
   GQueue refused; /* jobs to be told of */
   double failing;
+  int64_t end_ns; /* of this node */
   uint32_t jobs;
 };
 
@@ -339,6 +340,7 @@
   g->loop = loop;
   g->dialect = dialect;
   g->hooks = *hooks;
+  g->end_ns = INT64_MAX;
   g->client = http_client_new (loop, &settings->target,
                                settings->target_slots + SPARE_CONNECTIONS);
   g->lineup = lineup_new (settings->target_slots);
@@ -381,6 +383,8 @@
   job->done = done;
   job->arg = arg;
   g->jobs++;
+  if (job->request.deadline_ns > g->end_ns)
+    job->request.deadline_ns = g->end_ns;
   enum reason why = REASON_NONE;
   if (g->view.phase != TARGET_SERVING)
     why = g->view.phase == TARGET_LEAVING ? REASON_DRAINING
@@ -432,6 +436,12 @@
     }
 }
 
+void
+gate_set_end (struct gate *g, int64_t end_ns)
+{
+  g->end_ns = end_ns;
+}
+
 struct gate_load
 gate_read_load (const struct gate *g, int64_t now_ns)
 {
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -55,6 +55,9 @@
    cut off, any other run goes on unheard.  */
 void gate_abandon (struct gate_job *job);
 
+/* The node ends at END_NS: what cannot end by then is not begun.  */
+void gate_set_end (struct gate *g, int64_t end_ns);
+
 struct gate_load gate_read_load (const struct gate *g, int64_t now_ns);
 
 /* Requests of this node's target that run or wait.  */
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -40,6 +40,8 @@
 #define FAR_WAIT_MS 8000
 /* Pause between looks at whether all work has ended, when stopping.  */
 #define STOP_LOOK_MS 50
+/* What runs at the target must end that much before this node does.  */
+#define END_MARGIN_MS INT64_C (300)
 /* Callers stop using a node that is not ready after about this.  */
 #define STOP_QUIET_NS (2500 * NS_PER_MS)
 /* Pause between two fetches of the same document.  */
@@ -585,6 +587,9 @@
              router_busy (m->router));
   note_ready (m);
   http_server_drain (m->callers);
+  gate_set_end (m->gate,
+                m->stopping_ns
+                    + (m->settings->drain_ms - END_MARGIN_MS) * NS_PER_MS);
   keys_leave (m->keys, m->stopping_ns);
   nodes_tell (m->nodes);
   uv_timer_start (&m->stop_timer, on_stop_timer, STOP_LOOK_MS, STOP_LOOK_MS);
--- a/src/own/agent.c
+++ b/src/own/agent.c
@@ -13,6 +13,8 @@
 #define SECOND_NS (500 * NS_PER_MS)
 /* A tick later than this is a pause of the process.  */
 #define PAUSE_NS (200 * NS_PER_MS)
+/* A pause in a term that is long: this part of it.  */
+#define PAUSE_PARTS 8
 
 #define SOONEST_NS NS_PER_MS
 
@@ -375,7 +377,10 @@
 static void
 notice_pause (struct agent *a, int64_t now_ns)
 {
-  if (now_ns - a->last_ns > PAUSE_NS)
+  int64_t pause_ns = a->ward.term_ns / PAUSE_PARTS;
+  if (pause_ns < PAUSE_NS)
+    pause_ns = PAUSE_NS;
+  if (now_ns - a->last_ns > pause_ns)
     {
       lease_guard_extend (&a->guard, now_ns);
       a->ward.unanswered = 0;
