Order by the operators' priority alone

Cause: lookups by targets and requests of callers both come from the instance's own address, so that all counted as lookups; routes of lookups have a rank of their own.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -2,7 +2,6 @@
 
 #include "http/net.h"
 #include "http/reason_phrase.h"
-#include "settings/address.h"
 #include <http_parser.h>
 #include <string.h>
 
@@ -21,7 +20,6 @@
   const struct http_limits *limits;
   http_handler *handler;
   void *arg;
-  struct settings_address address;
   GQueue connections;
   unsigned busy;
   bool draining;
@@ -40,7 +38,6 @@
   struct request *reading;
   unsigned handles; /* still open in the loop */
   int refusal;      /* status with which parsing ended, 0: none */
-  bool own;         /* from the instance's own address */
   bool paused;
   bool ending; /* no further request is read */
   bool closed;
@@ -69,7 +66,6 @@
   r->x.target = g_string_new (NULL);
   r->x.headers = headers_new ();
   r->x.body = g_string_new (NULL);
-  r->x.from_own_instance = c->own;
   return r;
 }
 
@@ -460,18 +456,6 @@
   uv_read_start ((uv_stream_t *)&c->tcp, net_buffer, on_read);
 }
 
-static bool
-is_own_address (const struct connection *c)
-{
-  struct sockaddr_storage from;
-  struct settings_address peer;
-  int length = sizeof from;
-  if (uv_tcp_getpeername (&c->tcp, (struct sockaddr *)&from, &length) != 0)
-    return false;
-  settings_from_sockaddr (&peer, &from);
-  return strcmp (peer.host, c->server->address.host) == 0;
-}
-
 static void
 on_connection (uv_stream_t *listener, int status)
 {
@@ -494,7 +478,6 @@
       close_connection (c);
       return;
     }
-  c->own = is_own_address (c);
   net_tune (&c->tcp, 0);
   uv_read_start ((uv_stream_t *)&c->tcp, net_buffer, on_read);
   update_timer (c);
@@ -510,7 +493,6 @@
   s->limits = limits;
   s->handler = handler;
   s->arg = arg;
-  s->address = *address;
   g_queue_init (&s->connections);
   if (net_listen (loop, &s->listener, address, on_connection) != STATUS_OK)
     {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -33,7 +33,6 @@
   GString *target; /* path and query as the caller wrote them */
   struct headers *headers;
   GString *body;
-  bool from_own_instance; /* the caller has the server's own address */
   /* For the handler: called when the caller goes away before the answer; the
      exchange is freed after it returns.  */
   void (*on_gone) (struct http_exchange *x);
--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -117,8 +117,6 @@
 static bool
 goes_before (const struct lineup_request *a, const struct lineup_request *b)
 {
-  if (a->lookup != b->lookup)
-    return a->lookup;
   if (a->priority != b->priority)
     return a->priority < b->priority;
   return a->wanted_ns < b->wanted_ns;
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -1,10 +1,11 @@
 /* The line in front of one target: who starts, who waits, who is refused.
 
-   The order is: lookups that targets make for a request that already holds a
-   place elsewhere, then by priority, then by the time at which the answer is
-   wanted.  A request is refused at once when the line tells that its answer
-   would come too late; its caller learns when to come back.  What was let in
-   is refused only when it can no longer be answered in time.
+   The order is by priority, then by the time at which the answer is wanted.
+   Operators rank the lookups that targets make for a request, which already
+   holds a place elsewhere, before new requests.  A request is refused at once
+   when the line tells that its answer would come too late; its caller learns
+   when to come back.  What was let in is refused only when it can no longer be
+   answered in time.
 
    Service times are learned for each kind of request (a route), and corrected
    by the target's present pace, which is shared by all kinds.
@@ -27,7 +28,6 @@
 struct lineup_request
 {
   uint32_t kind;       /* a number that names the kind of request */
-  bool lookup;         /* made by a target for another request */
   uint32_t priority;   /* 0 first */
   int64_t wanted_ns;   /* an answer by then has its full value */
   int64_t deadline_ns; /* an answer after that has none */
--- a/src/mesh/attempt.h
+++ b/src/mesh/attempt.h
@@ -21,7 +21,6 @@
 {
   char id[ATTEMPT_ID_BYTES]; /* the caller's id of the request */
   uint32_t kind;             /* names the route */
-  bool lookup;               /* made by a target for another request */
   bool idempotent;
   uint32_t priority;
   int64_t wanted_ns;   /* CLOCK_BOOTTIME of this node */
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -59,7 +59,7 @@
 {
   NODE_ITEMS = 6,
   STATE_ITEMS = 10,
-  REQUEST_ITEMS = 11,
+  REQUEST_ITEMS = 10,
   RESULT_ITEMS = 10,
   HANDOVER_ITEMS = 3
 };
@@ -119,7 +119,6 @@
   put_uint (&w, number);
   put_text (&w, r->id);
   put_uint (&w, r->kind);
-  put_uint (&w, r->lookup);
   put_uint (&w, r->idempotent);
   put_uint (&w, r->priority);
   put_int (&w, r->wanted_ns + clock_ahead_ns);
@@ -315,7 +314,6 @@
   f->number = take_uint (r);
   take_text (r, q->id, sizeof q->id);
   q->kind = take_u32 (r);
-  q->lookup = take_uint (r) != 0;
   q->idempotent = take_uint (r) != 0;
   q->priority = take_u32 (r);
   q->wanted_ns = take_int (r);
--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -398,7 +398,6 @@
     }
   struct lineup_request r = {
     .kind = job->request.kind,
-    .lookup = job->request.lookup,
     .priority = job->request.priority,
     .wanted_ns = job->request.wanted_ns,
     .deadline_ns = job->request.deadline_ns,
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -19,8 +19,6 @@
 /* Part of the wanted time that a request may wait for an owner: refused by
    then, its caller can still come back in time.  */
 #define OWNER_WAIT_SHARE 0.25
-/* A lookup is not sent again by its target: it waits longer.  */
-#define LOOKUP_WAIT_SHARE 0.6
 /* Nodes that may turn a request away before it is refused.  Each costs a round
    trip between nodes.  */
 #define TURNS_MAX 3
@@ -113,11 +111,10 @@
     return;
   log_event (EV_REQUEST_ENDED,
              "request=%s route=%s outcome=%s reason=%s status=%d took_ms=%d "
-             "sends=%u turns=%u at=%s key=%d lookup=%d routes=%" PRIu64,
+             "sends=%u turns=%u at=%s key=%d routes=%" PRIu64,
              p->request.id, p->route->name, outcome_word (r->outcome),
              reason_word (r->reason), status, took_ms, p->sends, p->turns,
-             p->at == NULL ? "-" : p->at, p->request.key, p->request.lookup,
-             p->routes->version);
+             p->at == NULL ? "-" : p->at, p->request.key, p->routes->version);
 }
 
 static void
@@ -566,9 +563,8 @@
     wanted_ms = wait_ms;
   q->deadline_ns = p->arrived_ns + wait_ms * NS_PER_MS;
   q->wanted_ns = p->arrived_ns + wanted_ms * NS_PER_MS;
-  double share = q->lookup ? LOOKUP_WAIT_SHARE : OWNER_WAIT_SHARE;
-  p->until_ns
-      = p->arrived_ns + (int64_t)((double)wanted_ms * share) * NS_PER_MS;
+  p->until_ns = p->arrived_ns
+                + (int64_t)((double)wanted_ms * OWNER_WAIT_SHARE) * NS_PER_MS;
 }
 
 static struct pending *
@@ -585,7 +581,6 @@
   p->arrived_ns = clock_now_ns ();
   p->tried = g_ptr_array_new_with_free_func (g_free);
   p->request.kind = XXH32 (route->name, strlen (route->name), 0);
-  p->request.lookup = x->from_own_instance;
   p->request.idempotent = route->idempotent;
   p->request.priority = route->priority;
   p->request.key = ATTEMPT_NO_KEY;
