--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -17,6 +17,10 @@
 /* Of the time to the wanted answer that the expected one may fill: service
    times spread by about a third around their mean.  */
 #define WANTED_SHARE 0.9
+/* The same of the time to the deadline, for what outranks others here: it
+   starts before them, and a lookup that is refused loses the work of the
+   request that it is made for.  */
+#define DEADLINE_SHARE 0.85
 /* Part of the expected service time that a request may wait although its
    answer will be later than wanted anyway: the target is slow, not full.  */
 #define SLOW_WAIT 0.25
@@ -53,6 +57,7 @@
   uint32_t slots;
   uint32_t running;
   lineup_id last;
+  uint32_t lowest; /* the last priority of all that were offered */
   double pace;
   bool held;
 };
@@ -215,8 +220,8 @@
 
 /* How much too long the line is for R: 0 when it may wait or start.  */
 static int64_t
-excess_ns (const struct lineup_request *r, int64_t wait_ns, int64_t service_ns,
-           int64_t now_ns)
+excess_ns (const struct lineup *l, const struct lineup_request *r,
+           int64_t wait_ns, int64_t service_ns, int64_t now_ns)
 {
   int64_t end_ns = now_ns + wait_ns + service_ns;
   int64_t wanted_ns
@@ -226,6 +231,10 @@
   int64_t least_ns = now_ns + wait_ns + (int64_t)((double)service_ns * LEAST);
   if (least_ns > r->deadline_ns)
     return least_ns - r->deadline_ns;
+  if (r->priority < l->lowest)
+    wanted_ns
+        = now_ns
+          + (int64_t)((double)(r->deadline_ns - now_ns) * DEADLINE_SHARE);
   if (wait_ns == 0 || end_ns <= wanted_ns)
     return 0;
   int64_t slow_wait_ns = (int64_t)((double)service_ns * SLOW_WAIT);
@@ -240,11 +249,13 @@
   int64_t service_ns = expected_service_ns (l, r->kind);
   bool room = has_room (l) && l->waiting->len == 0;
   int64_t wait_ns = room ? 0 : wait_for (l, r);
+  if (r->priority > l->lowest)
+    l->lowest = r->priority;
   if (now_ns >= r->deadline_ns)
     return refuse (r, REASON_DEADLINE, 0);
   if (l->waiting->len >= WAITING_MAX)
     return refuse (r, REASON_QUEUE_FULL, wait_ns);
-  int64_t excess = excess_ns (r, wait_ns, service_ns, now_ns);
+  int64_t excess = excess_ns (l, r, wait_ns, service_ns, now_ns);
   if (excess > 0 && l->running >= PROBES)
     return refuse (r, REASON_QUEUE_FULL, excess);
   struct entry *e = g_new0 (struct entry, 1);
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -16,9 +16,11 @@
 #define ANSWER_SLACK_MS 150
 /* Pause before a key whose owner is not known is looked up again.  */
 #define LOOK_AGAIN_MS 20
-/* Part of the wanted time that a request may wait for an owner: refused by
-   then, its caller can still come back in time.  */
-#define OWNER_WAIT_SHARE 0.25
+/* Part of the time to the deadline that a request may wait for an owner:
+   refused by then, its caller can still come back in time.  A key that is
+   being handed over has one again in a moment.  */
+#define OWNER_WAIT_SHARE 0.4
+#define MOVE_WAIT_SHARE 0.6
 /* Nodes that may turn a request away before it is refused.  Each costs a round
    trip between nodes.  */
 #define TURNS_MAX 3
@@ -56,7 +58,6 @@
   const struct service_policy *service;
   struct attempt_request request;
   int64_t arrived_ns;
-  int64_t until_ns; /* of the wait for an owner */
   uint32_t sends;   /* that arrived at a target */
   uint32_t turns;   /* nodes that turned it away */
   bool in_doubt;    /* an earlier send may have run */
@@ -177,6 +178,14 @@
   g_string_free (head, TRUE);
 }
 
+/* Whether P may still wait for an owner, SHARE of its time.  */
+static bool
+may_wait (const struct pending *p, double share, int64_t now_ns)
+{
+  int64_t span_ns = p->request.deadline_ns - p->arrived_ns;
+  return now_ns - p->arrived_ns < (int64_t)((double)span_ns * share);
+}
+
 static void
 finish_not_run (struct pending *p, enum reason reason, int64_t retry_after_ns)
 {
@@ -319,7 +328,9 @@
                 || r->reason == REASON_LEASE_LAPSED
                 || r->reason == REASON_TARGET_DOWN
                 || r->reason == REASON_DRAINING;
-  if (keyed && moving && now_ns < p->until_ns)
+  double share
+      = r->reason == REASON_MOVING ? MOVE_WAIT_SHARE : OWNER_WAIT_SHARE;
+  if (keyed && moving && may_wait (p, share, now_ns))
     {
       look_again (p, LOOK_AGAIN_MS * NS_PER_MS);
       return;
@@ -471,7 +482,7 @@
       wait_deadline (p, now_ns);
       return;
     }
-  if (now_ns < p->until_ns)
+  if (may_wait (p, OWNER_WAIT_SHARE, now_ns))
     {
       look_again (p, LOOK_AGAIN_MS * NS_PER_MS);
       return;
@@ -563,8 +574,6 @@
     wanted_ms = wait_ms;
   q->deadline_ns = p->arrived_ns + wait_ms * NS_PER_MS;
   q->wanted_ns = p->arrived_ns + wanted_ms * NS_PER_MS;
-  p->until_ns = p->arrived_ns
-                + (int64_t)((double)wanted_ms * OWNER_WAIT_SHARE) * NS_PER_MS;
 }
 
 static struct pending *
