--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -58,7 +58,7 @@
 enum
 {
   NODE_ITEMS = 6,
-  STATE_ITEMS = 10,
+  STATE_ITEMS = 11,
   REQUEST_ITEMS = 10,
   RESULT_ITEMS = 10,
   HANDOVER_ITEMS = 3
@@ -86,6 +86,7 @@
   put_uint (w, s->load.wait_ms);
   put_uint (w, s->load.failing_pct);
   put_uint (w, s->load.cold_left_ms);
+  put_uint (w, s->follows_store);
   put_uint (w, s->routes_version);
   put_uint (w, s->cell_serial);
 }
@@ -295,6 +296,7 @@
   s->load.wait_ms = take_u32 (r);
   s->load.failing_pct = take_u32 (r);
   s->load.cold_left_ms = take_u32 (r);
+  s->follows_store = take_uint (r) != 0;
   s->routes_version = take_uint (r);
   s->cell_serial = take_u32 (r);
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -109,6 +109,7 @@
   state->load = gate_read_load (m->gate, state->now_ns);
   if (m->stopping_ns != 0 && !is_keyed (m))
     state->load.open = false;
+  state->follows_store = m->watcher != NULL && watcher_is_well (m->watcher);
   state->routes_version = r == NULL ? 0 : r->version;
   state->cell_serial = keys_serial (m->keys);
 }
@@ -531,7 +532,8 @@
 count_before (void *arg, const struct node_view *view)
 {
   struct before_me *b = arg;
-  b->count += strcmp (view->node->name, b->name) < 0;
+  b->count
+      += view->state->follows_store && strcmp (view->node->name, b->name) < 0;
   return true;
 }
 
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -22,6 +22,7 @@
   int64_t seen; /* revision of the store */
   uint32_t pause_ms;
   int stopping;
+  uint32_t well;
   pthread_t thread;
 };
 
@@ -50,6 +51,7 @@
 {
   struct watcher *w = arg;
   w->pause_ms = PAUSE_LEAST_MS;
+  ck_pr_store_32 (&w->well, 1);
   if (value == NULL)
     return true;
   if (value->revision > w->seen)
@@ -62,6 +64,7 @@
 static void
 pause_after_failure (struct watcher *w)
 {
+  ck_pr_store_32 (&w->well, 0);
   clock_pause_ms (w->pause_ms + g_random_int_range (0, (int)w->pause_ms));
   w->pause_ms *= 2;
   if (w->pause_ms > PAUSE_MOST_MS)
@@ -78,6 +81,7 @@
   if (s != STATUS_OK && s != STATUS_NOT_FOUND)
     return false;
   w->seen = value.seen;
+  ck_pr_store_32 (&w->well, 1);
   if (s == STATUS_OK)
     put (w, &value);
   store_value_clear (&value);
@@ -127,6 +131,12 @@
   return NULL;
 }
 
+bool
+watcher_is_well (const struct watcher *w)
+{
+  return ck_pr_load_32 (&w->well) != 0;
+}
+
 void
 watcher_stop (struct watcher *w)
 {
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -6,6 +6,7 @@
 #include "base/inbox.h"
 #include "base/mail.h"
 #include "store/store.h"
+#include <stdbool.h>
 
 struct watcher;
 
@@ -23,6 +24,9 @@
 struct watcher *watcher_start (struct store *st, const char *key,
                                struct inbox *to);
 
+/* Whether the store answered the last call.  Any thread.  */
+bool watcher_is_well (const struct watcher *w);
+
 /* End the thread and free W, which may be NULL.  */
 void watcher_stop (struct watcher *w);
 
