--- a/src/http/client.c
+++ b/src/http/client.c
@@ -130,11 +130,13 @@
 on_begin (http_parser *p)
 {
   struct connection *c = p->data;
+  /* Bytes after the whole answer: they belong to no call.  */
+  if (c->complete)
+    return 1;
   headers_clear (c->headers);
   g_string_truncate (c->body, 0);
   c->passing = false;
-  /* Bytes after the whole answer: they belong to no call.  */
-  return c->call == NULL || c->complete;
+  return 0;
 }
 
 static int
--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -256,7 +256,8 @@
   if (l->waiting->len >= WAITING_MAX)
     return refuse (r, REASON_QUEUE_FULL, wait_ns);
   int64_t excess = excess_ns (l, r, wait_ns, service_ns, now_ns);
-  if (excess > 0 && l->running >= PROBES)
+  bool probe = room && l->running < PROBES;
+  if (excess > 0 && !probe)
     return refuse (r, REASON_QUEUE_FULL, excess);
   struct entry *e = g_new0 (struct entry, 1);
   e->r = *r;
--- /dev/null
+++ b/test/unit/test_mesh_decisions.c
@@ -0,0 +1,408 @@
+/* Scripted tests of the mesh's decisions: test/mesh/NAME.txt.
+
+   Times are milliseconds; each script names the load or fault that it
+   shows.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "lib/script.h"
+#include "limit/lineup.h"
+#include "mesh/balance.h"
+#include "mesh/holdings.h"
+#include "mesh/routes.h"
+#include "mesh/target_state.h"
+
+enum
+{
+  CANDIDATES = 8,
+  NAME_BYTES = 32
+};
+
+/* Times in scripts begin here: a clock of zero hides mistakes.  */
+#define START_NS (1000 * NS_PER_S)
+
+static int64_t
+time_of (int count, char **words, const char *name, long fallback)
+{
+  return START_NS + script_number (count, words, name, fallback) * NS_PER_MS;
+}
+
+static int64_t
+span_of (int count, char **words, const char *name, long fallback)
+{
+  return script_number (count, words, name, fallback) * NS_PER_MS;
+}
+
+static bool
+is (char **words, const char *command)
+{
+  return strcmp (words[0], command) == 0;
+}
+
+/* The line in front of a target.  */
+
+struct line_world
+{
+  struct lineup *line;
+  lineup_id ids[64]; /* by the number that a script gives */
+};
+
+static void
+print_decision (const struct lineup_decision *d, FILE *out)
+{
+  static const char *const verdicts[] = { "start", "wait", "refuse", "-" };
+  fprintf (out, "%s", verdicts[d->verdict]);
+  if (d->verdict != LINEUP_NOTHING)
+    fprintf (out, " %d", (int)(intptr_t)d->user);
+  if (d->verdict == LINEUP_REFUSE)
+    fprintf (out, " %s back=%d", reason_word (d->reason),
+             (int)(d->retry_after_ns / NS_PER_MS));
+  fprintf (out, "\n");
+}
+
+static void
+line_offer (struct line_world *w, int count, char **words, FILE *out)
+{
+  int64_t now_ns = time_of (count, words, "at", 0);
+  int number = atoi (words[1]);
+  struct lineup_request r = {
+    .kind = (uint32_t)script_number (count, words, "kind", 1),
+    .priority = (uint32_t)script_number (count, words, "priority", 2),
+    .wanted_ns = now_ns + span_of (count, words, "wanted", 600),
+    .deadline_ns = now_ns + span_of (count, words, "deadline", 1200),
+    .user = (void *)(intptr_t)number,
+  };
+  struct lineup_decision d = lineup_offer (w->line, &r, now_ns);
+  w->ids[number] = d.id;
+  print_decision (&d, out);
+}
+
+static void
+line_command (void *context, int count, char **words, FILE *out)
+{
+  struct line_world *w = context;
+  int64_t now_ns = time_of (count, words, "at", 0);
+  struct lineup_decision d;
+  if (is (words, "line"))
+    {
+      lineup_free (w->line);
+      w->line = lineup_new ((uint32_t)atoi (words[1]));
+    }
+  else if (is (words, "offer"))
+    line_offer (w, count, words, out);
+  else if (is (words, "done"))
+    {
+      lineup_done (w->line, w->ids[atoi (words[1])], true,
+                   span_of (count, words, "took", 100));
+      while ((d = lineup_next (w->line, now_ns)).verdict != LINEUP_NOTHING)
+        print_decision (&d, out);
+    }
+  else if (is (words, "learn"))
+    for (long i = 0; i < script_number (count, words, "times", 20); i++)
+      {
+        struct lineup_request r = {
+          .kind = (uint32_t)script_number (count, words, "kind", 1),
+          .wanted_ns = INT64_MAX / 2,
+          .deadline_ns = INT64_MAX / 2,
+        };
+        d = lineup_offer (w->line, &r, now_ns);
+        lineup_done (w->line, d.id, true, span_of (count, words, "took", 100));
+      }
+  else if (is (words, "next"))
+    {
+      d = lineup_next (w->line, now_ns);
+      print_decision (&d, out);
+    }
+  else if (is (words, "cancel"))
+    fprintf (out, "%s\n",
+             lineup_cancel (w->line, w->ids[atoi (words[1])]) ? "yes" : "no");
+  else if (is (words, "slots"))
+    lineup_set_slots (w->line, (uint32_t)atoi (words[1]));
+  else
+    fprintf (out, "unknown command\n");
+}
+
+static void
+the_line_follows_its_script (void **state)
+{
+  struct line_world w = { .line = lineup_new (1) };
+  (void)state;
+  assert_int_equal (
+      script_run ("test/mesh/lineup.txt", line_command, &w), 0);
+  lineup_free (w.line);
+}
+
+/* Balance.  */
+
+struct balance_world
+{
+  struct paces *paces;
+  struct candidate list[CANDIDATES];
+  char names[CANDIDATES][NAME_BYTES];
+  unsigned count;
+};
+
+static void
+add_candidate (struct balance_world *w, int count, char **words)
+{
+  struct candidate *c = &w->list[w->count];
+  char *name = w->names[w->count++];
+  snprintf (name, NAME_BYTES, "%s", words[1]);
+  *c = (struct candidate){
+    .name = name,
+    .same_zone = script_number (count, words, "near", 0) != 0,
+    .tried = script_number (count, words, "tried", 0) != 0,
+    .load.open = script_number (count, words, "open", 1) != 0,
+    .load.slots = (uint32_t)script_number (count, words, "slots", 12),
+    .load.running = (uint32_t)script_number (count, words, "running", 0),
+    .load.wait_ms = (uint32_t)script_number (count, words, "wait", 0),
+    .load.failing_pct = (uint32_t)script_number (count, words, "failing", 0),
+    .load.cold_left_ms = (uint32_t)script_number (count, words, "cold", 0),
+    .sent_since = (uint32_t)script_number (count, words, "sent", 0),
+  };
+}
+
+static void
+balance_command (void *context, int count, char **words, FILE *out)
+{
+  struct balance_world *w = context;
+  if (is (words, "none"))
+    w->count = 0;
+  else if (is (words, "target"))
+    add_candidate (w, count, words);
+  else if (is (words, "learn"))
+    for (long i = 0; i < script_number (count, words, "times", 20); i++)
+      paces_learn (w->paces, words[1], 1,
+                   span_of (count, words, "took", 100));
+  else if (is (words, "forget"))
+    paces_forget (w->paces, words[1]);
+  else if (is (words, "pick"))
+    {
+      int i = balance_pick (w->paces, w->list, w->count, 1,
+                            span_of (count, words, "wanted", 600));
+      fprintf (out, "%s\n", i < 0 ? "nobody" : w->names[i]);
+    }
+  else
+    fprintf (out, "unknown command\n");
+}
+
+static void
+balance_follows_its_script (void **state)
+{
+  struct balance_world w = { .paces = paces_new () };
+  (void)state;
+  assert_int_equal (
+      script_run ("test/mesh/balance.txt", balance_command, &w), 0);
+  paces_free (w.paces);
+}
+
+/* Reports of targets.  */
+
+static void
+target_command (void *context, int count, char **words, FILE *out)
+{
+  static const char *const phases[]
+      = { "unknown", "serving", "leaving", "down" };
+  static const struct settings_address own = { "10.0.0.1", 8080 };
+  struct target_view *v = context;
+  struct target_report r = {
+    .started_ms = script_number (count, words, "started", 0),
+    .sequence = (uint64_t)script_number (count, words, "sequence", 1),
+    .slots = 12,
+    .address = own,
+  };
+  enum target_change change = TARGET_SAME;
+  if (is (words, "new"))
+    {
+      memset (v, 0, sizeof *v);
+      return;
+    }
+  snprintf (r.id, sizeof r.id, "%s", count > 1 ? words[1] : "");
+  snprintf (r.service, sizeof r.service, "%s",
+            script_text (count, words, "service", "stock"));
+  r.address.port = (uint16_t)script_number (count, words, "port", own.port);
+  if (is (words, "ready"))
+    change = target_view_report (v, &r, "stock", &own, START_NS);
+  else if (is (words, "draining"))
+    {
+      r.state = TARGET_DRAINING;
+      change = target_view_report (v, &r, "stock", &own, START_NS);
+    }
+  else if (is (words, "gone"))
+    change = target_view_gone (v, r.id, r.started_ms);
+  else if (is (words, "refused"))
+    target_view_refused (v);
+  fprintf (out, "%s: %s %s\n", target_change_word (change), phases[v->phase],
+           v->id);
+}
+
+static void
+reports_follow_their_script (void **state)
+{
+  struct target_view v = { .phase = TARGET_UNKNOWN };
+  (void)state;
+  assert_int_equal (
+      script_run ("test/mesh/target_state.txt", target_command, &v), 0);
+}
+
+/* Holdings.  */
+
+static struct key_run
+run_of (char **words)
+{
+  return (struct key_run){ (uint32_t)atoi (words[1]),
+                           (uint32_t)atoi (words[2]) };
+}
+
+static void
+print_runs (struct holdings *h, bool due, int64_t now_ns, int64_t least_ns,
+            FILE *out)
+{
+  struct key_run run;
+  uint32_t from = 0;
+  bool any = false;
+  while (due ? holdings_due (h, from, now_ns, least_ns, &run)
+             : holdings_to_release (h, from, now_ns, &run))
+    {
+      fprintf (out, "%s%u-%u", any ? " " : "", run.from, run.to);
+      any = true;
+      from = run.to + 1;
+    }
+  fprintf (out, "%s\n", any ? "" : "none");
+}
+
+static void
+holdings_change (struct holdings *h, int count, char **words)
+{
+  struct key_run run = run_of (words);
+  int64_t now_ns = time_of (count, words, "at", 0);
+  int64_t hold_ns = span_of (count, words, "hold", 1000);
+  for (uint32_t k = run.from; k <= run.to; k++)
+    if (is (words, "own"))
+      holdings_own (h, k, true);
+    else if (is (words, "disown"))
+      holdings_own (h, k, false);
+    else if (is (words, "close"))
+      holdings_close (h, k, true);
+    else if (is (words, "open"))
+      holdings_close (h, k, false);
+    else if (is (words, "wait"))
+      holdings_wait (h, k, now_ns);
+    else if (is (words, "lost"))
+      holdings_lost (h, k);
+  if (is (words, "sent"))
+    holdings_sent (h, &run);
+  else if (is (words, "granted"))
+    holdings_granted (h, &run, time_of (count, words, "sent", 0), hold_ns,
+                      now_ns);
+  else if (is (words, "doubt"))
+    holdings_doubt (h, &run, hold_ns, now_ns);
+  else if (is (words, "released"))
+    holdings_released (h, &run, true);
+  else if (is (words, "unanswered"))
+    holdings_released (h, &run, false);
+}
+
+static void
+holdings_command (void *context, int count, char **words, FILE *out)
+{
+  struct holdings **h = context;
+  int64_t now_ns = time_of (count, words, "at", 0);
+  if (is (words, "keys"))
+    {
+      holdings_free (*h);
+      *h = holdings_new ((uint32_t)atoi (words[1]));
+    }
+  else if (is (words, "assume"))
+    holdings_assume (*h, now_ns);
+  else if (is (words, "due"))
+    print_runs (*h, true, now_ns, span_of (count, words, "least", 500), out);
+  else if (is (words, "release"))
+    print_runs (*h, false, now_ns, 0, out);
+  else if (is (words, "serves"))
+    fprintf (out, "%s\n",
+             holdings_serve (*h, (uint32_t)atoi (words[1]), now_ns) ? "yes"
+                                                                    : "no");
+  else if (is (words, "free"))
+    fprintf (out, "%s\n",
+             holdings_closed_until (*h) <= now_ns ? "yes" : "no");
+  else
+    holdings_change (*h, count, words);
+}
+
+static void
+holdings_follow_their_script (void **state)
+{
+  struct holdings *h = holdings_new (1);
+  (void)state;
+  assert_int_equal (
+      script_run ("test/mesh/holdings.txt", holdings_command, &h), 0);
+  holdings_free (h);
+}
+
+/* Routes.  */
+
+static struct route *
+add_route (struct routes *r, const char *host, const char *prefix)
+{
+  struct route *route = g_new0 (struct route, 1);
+  route->name = g_strdup (prefix);
+  route->host = g_strdup (host);
+  route->prefix = g_strdup (prefix);
+  g_ptr_array_add (r->list, route);
+  return route;
+}
+
+static void
+the_longest_prefix_of_the_host_wins (void **state)
+{
+  struct routes *r = routes_new ();
+  (void)state;
+  struct route *all = add_route (r, "a.example", "/");
+  struct route *sub = add_route (r, "a.example", "/x/");
+  struct route *deep = add_route (r, "a.example", "/x/y/");
+  assert_ptr_equal (routes_find (r, "a.example", "/z"), all);
+  assert_ptr_equal (routes_find (r, "A.Example:8080", "/x/1"), sub);
+  assert_ptr_equal (routes_find (r, "a.example", "/x/y/"), deep);
+  assert_ptr_equal (routes_find (r, "a.example", "/x/yy"), sub);
+  assert_null (routes_find (r, "b.example", "/x/1"));
+  assert_null (routes_find (r, "a.example.org", "/x/1"));
+  routes_release (r);
+}
+
+static void
+each_part_gets_its_weight_in_every_run (void **state)
+{
+  struct route route = { .part_count = 2 };
+  unsigned got[2] = { 0, 0 };
+  (void)state;
+  route.parts[0] = (struct route_part){ 0, 90 };
+  route.parts[1] = (struct route_part){ 1, 10 };
+  for (int i = 0; i < 40; i++)
+    got[route_pick (&route)]++;
+  assert_int_equal (got[0], 36);
+  assert_int_equal (got[1], 4);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (the_line_follows_its_script),
+    cmocka_unit_test (balance_follows_its_script),
+    cmocka_unit_test (reports_follow_their_script),
+    cmocka_unit_test (holdings_follow_their_script),
+    cmocka_unit_test (the_longest_prefix_of_the_host_wins),
+    cmocka_unit_test (each_part_gets_its_weight_in_every_run),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
