Address grants to the run of the target that is known

Change: grants and releases name the run, and none is sent after a refused connection until the target has reported.

--- a/src/mesh/dialect.h
+++ b/src/mesh/dialect.h
@@ -64,6 +64,7 @@
 /* A grant of the keys FROM ... TO to the target, or their release.  */
 struct key_order
 {
+  const char *target_id; /* the run that the order is for */
   uint32_t from;
   uint32_t to;          /* inclusive */
   uint64_t token;       /* the fencing token */
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -58,7 +58,8 @@
   GArray *tokens; /* struct token */
   uv_udp_t udp;
   uv_timer_t timer;
-  uint32_t slots;
+  struct target_view target;
+  bool target_lost;
   int64_t lease_ns;
   uint32_t token; /* the highest fencing token among own keys */
   uint32_t move;  /* the move under way, 0: none */
@@ -174,6 +175,7 @@
   const struct dialect *d = k->parts.dialect;
   *o = (struct order){ k, *run, now_ns, hold_ns, k->token };
   struct key_order order = {
+    .target_id = k->target.id,
     .from = run->from,
     .to = run->to,
     .token = k->token,
@@ -237,7 +239,7 @@
   struct key_run run;
   int64_t hold_ns = hold_now_ns (k, now_ns);
   if (k->agent == NULL || agent_self (k->agent) == 0 || hold_ns == 0
-      || now_ns < k->grant_after_ns || k->token == 0)
+      || k->target_lost || now_ns < k->grant_after_ns || k->token == 0)
     return;
   uint32_t from = 0;
   while (holdings_due (k->holdings, from, now_ns,
@@ -639,7 +641,7 @@
     .callers = s->callers,
     .peers = s->peers,
     .place = "bound-address",
-    .weight = k->slots,
+    .weight = k->target.slots,
     .slots = CELL_SLOTS,
     .key_space = s->key_space,
     .term_ms = s->lease_term_ms,
@@ -657,9 +659,11 @@
 }
 
 void
-keys_join (struct keys *k, uint32_t slots, bool new_run, int64_t now_ns)
+keys_join (struct keys *k, const struct target_view *target, bool new_run,
+           int64_t now_ns)
 {
-  k->slots = slots;
+  k->target = *target;
+  k->target_lost = false;
   if (new_run && k->agent != NULL)
     end_agent (k);
   if (new_run)
@@ -670,6 +674,12 @@
     start_agent (k, now_ns);
 }
 
+void
+keys_lose_target (struct keys *k)
+{
+  k->target_lost = true;
+}
+
 void
 keys_leave (struct keys *k, int64_t now_ns)
 {
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -13,6 +13,7 @@
 #include "mesh/dialect.h"
 #include "mesh/nodes.h"
 #include "mesh/owners.h"
+#include "mesh/target_state.h"
 #include "store/worker.h"
 #include <uv.h>
 
@@ -33,8 +34,13 @@
 /* NULL with a message when the address for leases cannot be bound.  */
 struct keys *keys_open (const struct keys_parts *parts);
 
-/* A run of the target with SLOTS slots serves from now on.  */
-void keys_join (struct keys *k, uint32_t slots, bool new_run, int64_t now_ns);
+/* The run of TARGET serves from now on.  */
+void keys_join (struct keys *k, const struct target_view *target, bool new_run,
+                int64_t now_ns);
+
+/* The target refuses connections: it may be another run when it is back, which
+   must get no grant before it has told so.  */
+void keys_lose_target (struct keys *k);
 
 /* Hand all keys over and leave the cell.  */
 void keys_leave (struct keys *k, int64_t now_ns);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -124,7 +124,7 @@
   if (is_keyed (m) && m->stopping_ns == 0)
     {
       if (m->target.phase == TARGET_SERVING)
-        keys_join (m->keys, m->target.slots, new_run, now_ns);
+        keys_join (m->keys, &m->target, new_run, now_ns);
       else
         keys_leave (m->keys, now_ns);
     }
@@ -153,6 +153,7 @@
     return;
   log_event (EV_TARGET_DOWN, "target=%s started=%" PRId64, m->target.id,
              m->target.started_ms);
+  keys_lose_target (m->keys);
   follow_target (m, false);
 }
 
