Expect the wait behind urgent work, and start what is still in time first

Change: the wait counts the part of the slots that more urgent requests take; among equals, what can still come when wanted starts before what cannot; WANTED_SHARE 0.9 to 0.8.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -16,7 +16,7 @@
 #define PACE_MOST 4.0
 /* Of the time to the wanted answer that the expected one may fill: service
    times spread by about a third around their mean.  */
-#define WANTED_SHARE 0.9
+#define WANTED_SHARE 0.8
 /* The same of the time to the deadline, for what outranks others here: it
    starts before them, and a lookup that is refused loses the work of the
    request that it is made for.  */
@@ -24,6 +24,8 @@
 /* Part of the expected service time that a request may wait although its
    answer will be later than wanted anyway: the target is slow, not full.  */
 #define SLOW_WAIT 0.25
+/* Urgent requests are taken to use no more than this part of the slots.  */
+#define URGENT_MOST 0.75
 /* Part of the expected service time after which a run may end.  */
 #define LEAST 0.7
 /* Runs that go on although they are expected to end too late: estimates are
@@ -170,10 +172,30 @@
   return kinds == 0 ? 0 : (int64_t)(sum / kinds / l->slots);
 }
 
+/* The part of the slots that more urgent requests than R take: what comes of
+   them while R waits goes before it.  */
+static double
+urgent_share (const struct lineup *l, const struct lineup_request *r)
+{
+  uint32_t urgent = 0;
+  GHashTableIter iter;
+  gpointer value;
+  if (r == NULL)
+    return 0;
+  g_hash_table_iter_init (&iter, l->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct entry *e = value;
+      urgent += e->running && e->r.priority < r->priority;
+    }
+  return fmin (URGENT_MOST, (double)urgent / l->slots);
+}
+
 static int64_t
 wait_for (const struct lineup *l, const struct lineup_request *r)
 {
-  return work_ahead_ns (l, r) / l->slots + slot_free_ns (l);
+  double work_ns = (double)work_ahead_ns (l, r) / l->slots;
+  return (int64_t)(work_ns / (1 - urgent_share (l, r))) + slot_free_ns (l);
 }
 
 int64_t
@@ -285,6 +307,23 @@
   return e->r.deadline_ns - least_ns;
 }
 
+/* Among the most urgent, the first whose answer can still come when it is
+   wanted; those that will be late anyway start when no such one waits.  */
+static guint
+next_to_start (const struct lineup *l, int64_t now_ns)
+{
+  uint32_t priority = waiting_at (l, 0)->r.priority;
+  for (guint i = 0; i < l->waiting->len; i++)
+    {
+      const struct entry *e = waiting_at (l, i);
+      if (e->r.priority != priority)
+        break;
+      if (now_ns + e->expected_ns <= e->r.wanted_ns)
+        return i;
+    }
+  return 0;
+}
+
 struct lineup_decision
 lineup_next (struct lineup *l, int64_t now_ns)
 {
@@ -300,8 +339,9 @@
     }
   if (!has_room (l) || l->waiting->len == 0)
     return (struct lineup_decision){ .verdict = LINEUP_NOTHING };
-  struct entry *e = waiting_at (l, 0);
-  g_ptr_array_remove_index (l->waiting, 0);
+  guint next = next_to_start (l, now_ns);
+  struct entry *e = waiting_at (l, next);
+  g_ptr_array_remove_index (l->waiting, next);
   start (l, e, now_ns);
   return (struct lineup_decision){ .verdict = LINEUP_START,
                                    .id = e->id,
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -1,6 +1,7 @@
 /* The line in front of one target: who starts, who waits, who is refused.
 
-   The order is by priority, then by the time at which the answer is wanted.
+   The order is by priority, then by the time at which the answer is wanted;
+   those that can no longer be answered by then go behind those that can.
    Operators rank the lookups that targets make for a request, which already
    holds a place elsewhere, before new requests.  A request is refused at once
    when the line tells that its answer would come too late; its caller learns
