Balance with slots that nothing runs for

Cause: a planned move closes slots until what runs for them has ended, up to 2 s for a telemetry target; meanwhile their requests wait or are refused, and with lookups the requests that they are made for. Change: the environment of the agent may tell which slots are idle; balance moves only those. A move that is given up gives its handover to its own target again.

--- a/src/mesh/gate.c
+++ b/src/mesh/gate.c
@@ -207,6 +207,17 @@
              job->gate->view.id, lineup_running (job->gate->lineup));
 }
 
+/* The call of JOB is over.  */
+static void
+end_run (struct gate_job *job, bool whole, int64_t service_ns)
+{
+  struct gate *g = job->gate;
+  job->call = NULL;
+  if (job->request.key != ATTEMPT_NO_KEY)
+    g->hooks.end_key (g->hooks.arg, job->request.key);
+  lineup_done (g->lineup, job->place, whole, service_ns);
+}
+
 static void
 on_reply (void *arg, const struct http_reply *reply)
 {
@@ -215,7 +226,6 @@
   GString *head = g_string_new (NULL);
   int64_t service_ns = clock_now_ns () - job->sent_ns;
   struct attempt_result result;
-  job->call = NULL;
   if (reply->result == HTTP_ANSWERED)
     result = answer_result (job, reply, head, service_ns);
   else
@@ -224,7 +234,7 @@
   bool whole = (result.outcome == OUTCOME_ANSWERED
                 && (!result.failure || result.status == 504))
                || reply->result == HTTP_TIMED_OUT;
-  lineup_done (g->lineup, job->place, whole, service_ns);
+  end_run (job, whole, service_ns);
   count_failure (g, result.failure || result.outcome != OUTCOME_ANSWERED);
   log_answer (job, &result, service_ns);
   tell (job, &result);
@@ -294,6 +304,8 @@
   };
   job->sent_ns = now_ns;
   counter_add (COUNTER_target_sends_total, 1);
+  if (r->key != ATTEMPT_NO_KEY)
+    g->hooks.begin_key (g->hooks.arg, r->key);
   job->call = http_call (g->client, write_message (job, left_ms), &options);
 }
 
@@ -429,7 +441,7 @@
     {
       counter_add (COUNTER_target_cancelled_total, 1);
       http_call_cancel (job->call);
-      lineup_done (g->lineup, job->place, false, 0);
+      end_run (job, false, 0);
       job_free (job);
       run_line (g);
     }
--- a/src/mesh/gate.h
+++ b/src/mesh/gate.h
@@ -31,6 +31,9 @@
   void *arg;
   /* Whether the target holds KEY now: REASON_NONE, or why not.  */
   enum reason (*may_serve) (void *arg, int32_t key, int64_t now_ns);
+  /* A request for KEY is sent to the target, and has ended there.  */
+  void (*begin_key) (void *arg, int32_t key);
+  void (*end_key) (void *arg, int32_t key);
   /* The target says that it is another one, or does not hold the key.  */
   void (*refused_key) (void *arg, int32_t key);
   /* The target refuses connections.  */
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -55,7 +55,8 @@
   struct agent *agent; /* NULL: not a member */
   uint32_t generation; /* of the agent, in store jobs */
   struct holdings *holdings;
-  GArray *tokens; /* struct token */
+  uint32_t in_flight[CELL_SLOTS_MAX]; /* requests at the target, by slot */
+  GArray *tokens;                     /* struct token */
   uv_udp_t udp;
   uv_timer_t timer;
   struct target_view target;
@@ -209,8 +210,8 @@
   return hold_ns < GRANT_LEAST_NS ? 0 : hold_ns;
 }
 
-/* A received handover that lies within RUN, cut so that RUN is its range, or
-   ends before it.  NULL: none.  */
+/* A handover, received or of a move that was given up, that lies within RUN,
+   cut so that RUN is its range, or ends before it.  NULL: none.  */
 static struct token *
 cut_at_token (struct keys *k, struct key_run *run, int64_t now_ns)
 {
@@ -218,8 +219,7 @@
     {
       struct token *t = &g_array_index (k->tokens, struct token, i);
       const struct frame_handover *h = &t->handover;
-      if (t->given || now_ns > t->until_ns || h->to < run->from
-          || h->from > run->to)
+      if (now_ns > t->until_ns || h->to < run->from || h->from > run->to)
         continue;
       if (h->from > run->from)
         {
@@ -556,7 +556,14 @@
     counter_add (COUNTER_slots_moved_total, 1);
 }
 
+static bool
+env_is_idle (struct agent_env *env, uint32_t slot)
+{
+  return from_env (env)->in_flight[slot] == 0;
+}
+
 static const struct agent_env_ops env_ops = {
+  .is_idle = env_is_idle,
   .send = env_send,
   .read = env_read,
   .swap = env_swap,
@@ -715,6 +722,30 @@
   work (k);
 }
 
+/* The slot of KEY; keys without a document count as slot 0.  */
+static uint32_t
+slot_of (const struct keys *k, uint32_t key)
+{
+  const struct cell *cell = k->agent == NULL ? NULL : agent_cell (k->agent);
+  return cell == NULL || cell->key_space <= key
+             ? 0
+             : cell_slot_of_number (cell, key);
+}
+
+void
+keys_begin (struct keys *k, uint32_t key)
+{
+  k->in_flight[slot_of (k, key)]++;
+}
+
+void
+keys_end (struct keys *k, uint32_t key)
+{
+  uint32_t *count = &k->in_flight[slot_of (k, key)];
+  if (*count > 0)
+    --*count;
+}
+
 void
 keys_count (struct keys *k, uint32_t key)
 {
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -55,6 +55,10 @@
 /* The target says that it does not hold KEY.  */
 void keys_refused (struct keys *k, uint32_t key);
 
+/* A request for KEY begins at the target, or has ended there.  */
+void keys_begin (struct keys *k, uint32_t key);
+void keys_end (struct keys *k, uint32_t key);
+
 /* A request for KEY was taken; and the load of the target in hundredths of
    its slots.  */
 void keys_count (struct keys *k, uint32_t key);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -138,6 +138,20 @@
   return keys_may_serve (m->keys, (uint32_t)key, now_ns);
 }
 
+static void
+begin_key (void *arg, int32_t key)
+{
+  struct mesh *m = arg;
+  keys_begin (m->keys, (uint32_t)key);
+}
+
+static void
+end_key (void *arg, int32_t key)
+{
+  struct mesh *m = arg;
+  keys_end (m->keys, (uint32_t)key);
+}
+
 static void
 refused_key (void *arg, int32_t key)
 {
@@ -614,7 +628,14 @@
 open_parts (struct mesh *m)
 {
   struct settings *s = m->settings;
-  struct gate_hooks gate_hooks = { m, may_serve, refused_key, lost_target };
+  struct gate_hooks gate_hooks = {
+    .arg = m,
+    .may_serve = may_serve,
+    .begin_key = begin_key,
+    .end_key = end_key,
+    .refused_key = refused_key,
+    .lost_target = lost_target,
+  };
   struct nodes_hooks nodes_hooks = {
     .arg = m,
     .fill_state = fill_state,
--- a/src/own/agent.h
+++ b/src/own/agent.h
@@ -105,6 +105,9 @@
   void (*open) (struct agent_env *env, uint32_t id);
   /* Log EV with DETAIL, key=value pairs.  EV_LEFT: agent_leave is done.  */
   void (*notify) (struct agent_env *env, enum event ev, const char *detail);
+  /* Whether nothing is in flight for SLOT.  NULL: not known, and any slot may
+     be moved for balance.  */
+  bool (*is_idle) (struct agent_env *env, uint32_t slot);
 };
 
 /* The first member of every environment.  */
--- a/src/own/agent_move.c
+++ b/src/own/agent_move.c
@@ -200,6 +200,21 @@
          && (uint64_t)a->load * a->cell->member_count > 2 * sum;
 }
 
+/* Keep those of COUNT MOVES whose slots nothing is in flight for: a slot that
+   is busy stays closed until its work has ended, which is worse for its
+   callers than imbalance.  Return how many are left.  */
+static uint32_t
+keep_idle (struct agent *a, struct place_move *moves, uint32_t count)
+{
+  uint32_t kept = 0;
+  if (a->env->ops->is_idle == NULL)
+    return count;
+  for (uint32_t i = 0; i < count; i++)
+    if (a->env->ops->is_idle (a->env, moves[i].slot))
+      moves[kept++] = moves[i];
+  return kept;
+}
+
 static void
 rebalance_step (struct agent *a, int64_t now_ns)
 {
@@ -213,6 +228,7 @@
                  && !is_far_above (a, &loads, count);
   if (by_load && a->sketch != NULL)
     count = hot_drop_slots (a->sketch, a->cell, a->self, &loads, moves, count);
+  count = keep_idle (a, moves, count);
   int64_t pause_ns = count > 0 && !by_load ? REBALANCE_NS : BALANCED_NS;
   a->rebalance_ns
       = now_ns + pause_ns + (int64_t)agent_random (a, (uint64_t)pause_ns / 4);
