--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -30,11 +30,12 @@
 /* Part of the retry budget that this node uses: calls that a repeated run
    makes count as repeats as well.  */
 #define BUDGET_SHARE 0.6
-#define CANDIDATES_MAX 256
-
-struct service_budget
+enum
 {
-  struct retry_budget budget;
+  CANDIDATES_MAX = 256,
+  BAD_GATEWAY = 502,
+  UNAVAILABLE = 503,
+  GATEWAY_TIMEOUT = 504
 };
 
 struct router
@@ -42,7 +43,7 @@
   struct router_parts parts;
   struct routes *routes;
   struct paces *paces;
-  GHashTable *budgets; /* struct service_budget by service */
+  GHashTable *budgets; /* struct retry_budget by service */
   struct histogram *latency[OUTCOME_COUNT]; /* microseconds */
   GQueue pending; /* struct pending without an answer */
   bool closed;
@@ -146,8 +147,8 @@
 own_status (const struct attempt_result *r)
 {
   if (r->outcome == OUTCOME_NOT_RUN)
-    return 503;
-  return r->reason == REASON_DEADLINE ? 504 : 502;
+    return UNAVAILABLE;
+  return r->reason == REASON_DEADLINE ? GATEWAY_TIMEOUT : BAD_GATEWAY;
 }
 
 /* Answer the caller with R.  */
@@ -254,7 +255,7 @@
 static struct retry_budget *
 budget_of (struct router *r, const char *service)
 {
-  struct service_budget *b = g_hash_table_lookup (r->budgets, service);
+  struct retry_budget *b = g_hash_table_lookup (r->budgets, service);
   if (b == NULL)
     {
       const struct settings *s = r->parts.settings;
@@ -262,11 +263,11 @@
       retry_config_defaults (&config);
       config.ratio_pct = (uint32_t)(s->retry_ratio_pct * BUDGET_SHARE);
       config.stored_max = s->retry_stored;
-      b = g_new0 (struct service_budget, 1);
-      retry_init (&b->budget, &config);
+      b = g_new0 (struct retry_budget, 1);
+      retry_init (b, &config);
       g_hash_table_insert (r->budgets, g_strdup (service), b);
     }
-  return &b->budget;
+  return b;
 }
 
 static enum retry_outcome
@@ -352,7 +353,7 @@
   p->job = NULL;
   p->call = NULL;
   uv_timer_stop (&p->timer);
-  if (r->service_ns > 0 && (!r->failure || r->status == 504))
+  if (r->service_ns > 0 && (!r->failure || r->status == GATEWAY_TIMEOUT))
     paces_learn (router->paces, p->at, p->request.kind, r->service_ns);
   if (!r->arrived)
     {
@@ -366,9 +367,7 @@
     g_ptr_array_add (p->tried, g_strdup (p->at));
   if (r->outcome == OUTCOME_UNKNOWN)
     p->in_doubt = true;
-  if (r->outcome == OUTCOME_ANSWERED && !r->failure)
-    finish (p, r);
-  else if (r->outcome == OUTCOME_ANSWERED)
+  if (r->outcome == OUTCOME_ANSWERED)
     finish (p, r);
   else
     retry_or_finish (p, r);
@@ -503,17 +502,12 @@
              why, x->target->str);
   counter_add (COUNTER_not_run_total, 1);
   GString *head = g_string_new (NULL);
-  if (status == 503)
+  if (status == UNAVAILABLE)
     append_retry_after (head, 0);
   http_answer (x, status, head->str, why, strlen (why));
   g_string_free (head, TRUE);
 }
 
-struct field_filter
-{
-  const struct dialect *dialect;
-};
-
 /* Fields that this node sets itself are not passed on.  */
 static bool
 keep_request_field (const char *name, const void *arg)
--- a/test/lib/script.c
+++ b/test/lib/script.c
@@ -105,6 +105,12 @@
   return fallback;
 }
 
+int
+script_word_number (const char *word)
+{
+  return (int)strtol (word, NULL, 10);
+}
+
 long
 script_number (int count, char **words, const char *name, long fallback)
 {
--- a/test/lib/script.h
+++ b/test/lib/script.h
@@ -23,6 +23,9 @@
    holds no input.  */
 int script_run (const char *path, script_command *run, void *context);
 
+/* The whole decimal number WORD; 0 when it is none.  */
+int script_word_number (const char *word);
+
 /* The number after "NAME=" among WORDS, or FALLBACK.  */
 long script_number (int count, char **words, const char *name, long fallback);
 
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -8,8 +8,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include <cmocka.h>
 #include <arpa/inet.h>
+#include <cmocka.h>
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -67,7 +67,7 @@
   socklen_t length = sizeof at;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  bind (fd, (struct sockaddr *)&at, sizeof at);
+  assert_int_equal (bind (fd, (struct sockaddr *)&at, sizeof at), 0);
   getsockname (fd, (struct sockaddr *)&at, &length);
   close (fd);
   return ntohs (at.sin_port);
@@ -167,15 +167,15 @@
   else if (strcmp (words[0], "answer") == 0)
     {
       const char *body = count > 3 ? words[3] : "";
-      int number = atoi (words[1]);
-      http_answer (w->exchanges[number], atoi (words[2]), NULL, body,
-                   strlen (body));
+      int number = script_word_number (words[1]);
+      http_answer (w->exchanges[number], script_word_number (words[2]), NULL,
+                   body, strlen (body));
       w->exchanges[number] = NULL;
     }
   else if (strcmp (words[0], "drain") == 0)
     http_server_drain (w->server);
   else if (strcmp (words[0], "sleep") == 0)
-    for (int i = 0; i < atoi (words[1]); i += TURN_MS)
+    for (int i = 0; i < script_word_number (words[1]); i += TURN_MS)
       run_loop (&w->loop);
   else if (strcmp (words[0], "leave") == 0)
     {
@@ -198,8 +198,7 @@
   uv_loop_init (&w.loop);
   strcpy (w.address.host, "127.0.0.1");
   w.address.port = free_port ();
-  w.server
-      = http_server_new (&w.loop, &w.address, &w.limits, on_request, &w);
+  w.server = http_server_new (&w.loop, &w.address, &w.limits, on_request, &w);
   assert_non_null (w.server);
   assert_int_equal (script_run ("test/http/server.txt", server_command, &w),
                     0);
@@ -253,7 +252,7 @@
 {
   const struct client_call *call = arg;
   const char *id = headers_find (headers, "Id");
-  return id == NULL || atoi (id) == call->number;
+  return id == NULL || script_word_number (id) == call->number;
 }
 
 static void
@@ -325,7 +324,7 @@
   struct client_world *w = context;
   w->out = out;
   if (strcmp (words[0], "call") == 0)
-    client_call (w, atoi (words[1]),
+    client_call (w, script_word_number (words[1]),
                  (uint32_t)script_number (count, words, "timeout", 5000));
   else if (strcmp (words[0], "reply") == 0)
     client_reply (w, words[1]);
@@ -338,11 +337,11 @@
     client_end (w, false);
   else if (strcmp (words[0], "cancel") == 0)
     {
-      http_call_cancel (w->calls[atoi (words[1])]);
-      w->calls[atoi (words[1])] = NULL;
+      http_call_cancel (w->calls[script_word_number (words[1])]);
+      w->calls[script_word_number (words[1])] = NULL;
     }
   else if (strcmp (words[0], "sleep") == 0)
-    for (int i = 0; i < atoi (words[1]); i += TURN_MS)
+    for (int i = 0; i < script_word_number (words[1]); i += TURN_MS)
       run_loop (&w->loop);
   run_loop (&w->loop);
   client_received (w);
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -73,7 +73,7 @@
 line_offer (struct line_world *w, int count, char **words, FILE *out)
 {
   int64_t now_ns = time_of (count, words, "at", 0);
-  int number = atoi (words[1]);
+  int number = script_word_number (words[1]);
   struct lineup_request r = {
     .kind = (uint32_t)script_number (count, words, "kind", 1),
     .priority = (uint32_t)script_number (count, words, "priority", 2),
@@ -95,13 +95,13 @@
   if (is (words, "line"))
     {
       lineup_free (w->line);
-      w->line = lineup_new ((uint32_t)atoi (words[1]));
+      w->line = lineup_new ((uint32_t)script_word_number (words[1]));
     }
   else if (is (words, "offer"))
     line_offer (w, count, words, out);
   else if (is (words, "done"))
     {
-      lineup_done (w->line, w->ids[atoi (words[1])], true,
+      lineup_done (w->line, w->ids[script_word_number (words[1])], true,
                    span_of (count, words, "took", 100));
       while ((d = lineup_next (w->line, now_ns)).verdict != LINEUP_NOTHING)
         print_decision (&d, out);
@@ -124,9 +124,11 @@
     }
   else if (is (words, "cancel"))
     fprintf (out, "%s\n",
-             lineup_cancel (w->line, w->ids[atoi (words[1])]) ? "yes" : "no");
+             lineup_cancel (w->line, w->ids[script_word_number (words[1])])
+                 ? "yes"
+                 : "no");
   else if (is (words, "slots"))
-    lineup_set_slots (w->line, (uint32_t)atoi (words[1]));
+    lineup_set_slots (w->line, (uint32_t)script_word_number (words[1]));
   else
     fprintf (out, "unknown command\n");
 }
@@ -136,8 +138,7 @@
 {
   struct line_world w = { .line = lineup_new (1) };
   (void)state;
-  assert_int_equal (
-      script_run ("test/mesh/lineup.txt", line_command, &w), 0);
+  assert_int_equal (script_run ("test/mesh/lineup.txt", line_command, &w), 0);
   lineup_free (w.line);
 }
 
@@ -181,8 +182,7 @@
     add_candidate (w, count, words);
   else if (is (words, "learn"))
     for (long i = 0; i < script_number (count, words, "times", 20); i++)
-      paces_learn (w->paces, words[1], 1,
-                   span_of (count, words, "took", 100));
+      paces_learn (w->paces, words[1], 1, span_of (count, words, "took", 100));
   else if (is (words, "forget"))
     paces_forget (w->paces, words[1]);
   else if (is (words, "pick"))
@@ -200,8 +200,8 @@
 {
   struct balance_world w = { .paces = paces_new () };
   (void)state;
-  assert_int_equal (
-      script_run ("test/mesh/balance.txt", balance_command, &w), 0);
+  assert_int_equal (script_run ("test/mesh/balance.txt", balance_command, &w),
+                    0);
   paces_free (w.paces);
 }
 
@@ -259,8 +259,8 @@
 static struct key_run
 run_of (char **words)
 {
-  return (struct key_run){ (uint32_t)atoi (words[1]),
-                           (uint32_t)atoi (words[2]) };
+  return (struct key_run){ (uint32_t)script_word_number (words[1]),
+                           (uint32_t)script_word_number (words[2]) };
 }
 
 static void
@@ -320,7 +320,7 @@
   if (is (words, "keys"))
     {
       holdings_free (*h);
-      *h = holdings_new ((uint32_t)atoi (words[1]));
+      *h = holdings_new ((uint32_t)script_word_number (words[1]));
     }
   else if (is (words, "assume"))
     holdings_assume (*h, now_ns);
@@ -329,12 +329,13 @@
   else if (is (words, "release"))
     print_runs (*h, false, now_ns, 0, out);
   else if (is (words, "serves"))
-    fprintf (out, "%s\n",
-             holdings_serve (*h, (uint32_t)atoi (words[1]), now_ns) ? "yes"
-                                                                    : "no");
+    fprintf (
+        out, "%s\n",
+        holdings_serve (*h, (uint32_t)script_word_number (words[1]), now_ns)
+            ? "yes"
+            : "no");
   else if (is (words, "free"))
-    fprintf (out, "%s\n",
-             holdings_closed_until (*h) <= now_ns ? "yes" : "no");
+    fprintf (out, "%s\n", holdings_closed_until (*h) <= now_ns ? "yes" : "no");
   else
     holdings_change (*h, count, words);
 }
