--- a/src/mesh/holdings.c
+++ b/src/mesh/holdings.c
@@ -19,6 +19,7 @@
 struct holdings
 {
   uint32_t count;
+  uint32_t token;
   struct holding *keys;
 };
 
@@ -41,9 +42,23 @@
 }
 
 void
-holdings_own (struct holdings *h, uint32_t key, bool mine)
+holdings_own (struct holdings *h, uint32_t key, uint32_t epoch)
 {
-  h->keys[key].mine = mine;
+  h->keys[key].mine = true;
+  if (epoch > h->token)
+    h->token = epoch;
+}
+
+void
+holdings_disown (struct holdings *h, uint32_t key)
+{
+  h->keys[key].mine = false;
+}
+
+uint32_t
+holdings_token (const struct holdings *h)
+{
+  return h->token;
 }
 
 void
--- a/src/mesh/holdings.h
+++ b/src/mesh/holdings.h
@@ -27,8 +27,14 @@
 struct holdings *holdings_new (uint32_t count);
 void holdings_free (struct holdings *h);
 
-/* KEY is this node's, or not, from now on.  */
-void holdings_own (struct holdings *h, uint32_t key, bool mine);
+/* KEY is this node's from now on, by a document that gave it at EPOCH; or it
+   is not.  */
+void holdings_own (struct holdings *h, uint32_t key, uint32_t epoch);
+void holdings_disown (struct holdings *h, uint32_t key);
+
+/* The fencing token of all grants: the highest epoch that any own key ever
+   had, since a target refuses a lower one than it has seen; 0: none.  */
+uint32_t holdings_token (const struct holdings *h);
 
 /* KEY is being handed over: it is not served nor granted.  */
 void holdings_close (struct holdings *h, uint32_t key, bool closed);
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -62,8 +62,7 @@
   struct target_view target;
   bool target_lost;
   int64_t lease_ns;
-  uint32_t token; /* the highest fencing token among own keys */
-  uint32_t move;  /* the move under way, 0: none */
+  uint32_t move; /* the move under way, 0: none */
   int64_t move_until_ns;
   bool move_reported;
   int64_t grant_after_ns;
@@ -174,12 +173,13 @@
 {
   struct order *o = g_new0 (struct order, 1);
   const struct dialect *d = k->parts.dialect;
-  *o = (struct order){ k, *run, now_ns, hold_ns, k->token };
+  *o = (struct order){ k, *run, now_ns, hold_ns,
+                       holdings_token (k->holdings) };
   struct key_order order = {
     .target_id = k->target.id,
     .from = run->from,
     .to = run->to,
-    .token = k->token,
+    .token = o->token,
     .hold_ms = (uint32_t)(hold_ns / NS_PER_MS),
     .handover = handover,
   };
@@ -239,7 +239,8 @@
   struct key_run run;
   int64_t hold_ns = hold_now_ns (k, now_ns);
   if (k->agent == NULL || agent_self (k->agent) == 0 || hold_ns == 0
-      || k->target_lost || now_ns < k->grant_after_ns || k->token == 0)
+      || k->target_lost || now_ns < k->grant_after_ns
+      || holdings_token (k->holdings) == 0)
     return;
   uint32_t from = 0;
   while (holdings_due (k->holdings, from, now_ns,
@@ -310,7 +311,7 @@
   k->lease_ns = AGENT_NEVER_NS;
   for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
     {
-      holdings_own (k->holdings, i, false);
+      holdings_disown (k->holdings, i);
       holdings_close (k->holdings, i, false);
     }
 }
@@ -439,12 +440,20 @@
   return false;
 }
 
+static void
+take_key (struct keys *k, uint32_t key, bool mine, uint32_t epoch)
+{
+  if (mine)
+    holdings_own (k->holdings, key, epoch);
+  else
+    holdings_disown (k->holdings, key);
+}
+
 /* Take from CELL which keys are SELF's.  */
 static void
 take_holdings (struct keys *k, const struct cell *cell, uint32_t self,
                int64_t now_ns)
 {
-  k->token = 0;
   for (uint32_t i = 0; i < cell->key_space; i++)
     {
       const struct cell_slot *slot
@@ -453,20 +462,14 @@
       if (mine && !holdings_is_mine (k->holdings, i) && cell->member_count > 1
           && !has_token_for (k, i))
         holdings_wait (k->holdings, i, now_ns + HANDOVER_WAIT_NS);
-      holdings_own (k->holdings, i, mine);
-      if (mine && slot->epoch > k->token)
-        k->token = slot->epoch;
+      take_key (k, i, mine, slot->epoch);
     }
   for (uint32_t i = 0; i < cell->pin_count; i++)
     {
       const struct cell_pin *pin = &cell->pins[i];
       uint32_t number = (uint32_t)strtoul (pin->key, NULL, 10);
-      if (number >= cell->key_space)
-        continue;
-      bool mine = self != 0 && pin->owner == self;
-      holdings_own (k->holdings, number, mine);
-      if (mine && pin->epoch > k->token)
-        k->token = pin->epoch;
+      if (number < cell->key_space)
+        take_key (k, number, self != 0 && pin->owner == self, pin->epoch);
     }
 }
 
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -288,9 +288,9 @@
   int64_t hold_ns = span_of (count, words, "hold", 1000);
   for (uint32_t k = run.from; k <= run.to; k++)
     if (is (words, "own"))
-      holdings_own (h, k, true);
+      holdings_own (h, k, (uint32_t)script_number (count, words, "epoch", 1));
     else if (is (words, "disown"))
-      holdings_own (h, k, false);
+      holdings_disown (h, k);
     else if (is (words, "close"))
       holdings_close (h, k, true);
     else if (is (words, "open"))
@@ -328,6 +328,8 @@
     print_runs (*h, true, now_ns, span_of (count, words, "least", 500), out);
   else if (is (words, "release"))
     print_runs (*h, false, now_ns, 0, out);
+  else if (is (words, "token"))
+    fprintf (out, "%u\n", holdings_token (*h));
   else if (is (words, "serves"))
     fprintf (
         out, "%s\n",
