--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -46,6 +46,9 @@
 #define STOP_QUIET_NS (2500 * NS_PER_MS)
 /* Pause between two fetches of the same document.  */
 #define FETCH_PAUSE_NS (100 * NS_PER_MS)
+/* How long a document is waited for from the own zone before it is fetched
+   from another one.  */
+#define FETCH_FAR_NS (400 * NS_PER_MS)
 /* Limits on callers before the first configuration.  */
 #define FIRST_LIMITS                                                          \
   {                                                                           \
@@ -84,6 +87,7 @@
   int64_t lease;
   bool listed;
   int64_t fetched_ns;
+  int64_t behind_ns;   /* since when a newer document of owners is known */
   char *routes_text;   /* as read, for other nodes */
   int64_t stopping_ns; /* since when; 0: no */
   bool was_ready;
@@ -346,6 +350,8 @@
   if (own)
     keys_on_document (m->keys, revision, text, length, clock_now_ns ());
   enum status s = owners_offer (m->owners, node->service, text, length);
+  if (s == STATUS_OK)
+    m->behind_ns = 0;
   if (s == STATUS_OK)
     log_event (EV_OWNERS_LEARNED, "service=%s serial=%u from=%s",
                node->service, owners_serial (m->owners, node->service),
@@ -355,6 +361,19 @@
                status_message ());
 }
 
+/* Whether to fetch a newer document of owners from NODE: one in the own zone
+   has it in a moment, and bytes between zones cost.  */
+static bool
+may_fetch_owners (struct mesh *m, const struct frame_node *node,
+                  int64_t now_ns)
+{
+  if (strcmp (node->zone, m->settings->zone) == 0)
+    return true;
+  if (m->behind_ns == 0)
+    m->behind_ns = now_ns;
+  return now_ns - m->behind_ns > FETCH_FAR_NS;
+}
+
 static void
 state_changed (void *arg, const struct frame_node *node,
                const struct frame_state *state)
@@ -369,7 +388,8 @@
       m->fetched_ns = now_ns;
       nodes_fetch (m->nodes, &node->address, FRAME_ROUTES);
     }
-  if (state->cell_serial > owners_serial (m->owners, node->service))
+  if (state->cell_serial > owners_serial (m->owners, node->service)
+      && may_fetch_owners (m, node, now_ns))
     {
       m->fetched_ns = now_ns;
       nodes_fetch (m->nodes, &node->address, FRAME_CELL);
