Part the node's list, its grants and its way to the target

Change: directory (the list in the store), grants (out of keys), egress (the way to the target, was gate). An address that a node or the list tells is checked before it is dialled. No decision changes.

--- a/src/mesh/balance.h
+++ b/src/mesh/balance.h
@@ -10,7 +10,7 @@
 #ifndef MESH_BALANCE_H
 #define MESH_BALANCE_H
 
-#include "mesh/gate.h"
+#include "mesh/egress.h"
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -36,7 +36,7 @@
   const char *name;
   bool same_zone;
   bool tried; /* this request was there already */
-  struct gate_load load;
+  struct target_load load;
   uint32_t sent_since; /* requests sent there since LOAD was told */
 };
 
--- a/src/mesh/gate.c
+++ b/src/mesh/egress.c
@@ -1,4 +1,4 @@
-#include "mesh/gate.h"
+#include "mesh/egress.h"
 
 #include "base/clock.h"
 #include "base/counter.h"
@@ -24,11 +24,11 @@
    that time.  */
 #define CLOSED_RETRY_NS (300 * NS_PER_MS)
 
-struct gate
+struct egress
 {
   uv_loop_t *loop;
   const struct dialect *dialect;
-  struct gate_hooks hooks;
+  struct egress_hooks hooks;
   struct http_client *client;
   struct lineup *lineup;
   struct target_view view;
@@ -41,9 +41,9 @@
   uint32_t jobs;
 };
 
-struct gate_job
+struct egress_job
 {
-  struct gate *gate;
+  struct egress *egress;
   struct attempt_request request;
   attempt_done *done; /* NULL: nobody listens any more */
   void *arg;
@@ -54,18 +54,18 @@
   GList in_refused;
 };
 
-static void run_line (struct gate *g);
+static void run_line (struct egress *g);
 
 static void
-job_free (struct gate_job *job)
+job_free (struct egress_job *job)
 {
-  job->gate->jobs--;
+  job->egress->jobs--;
   attempt_request_clear (&job->request);
   g_free (job);
 }
 
 static void
-tell (struct gate_job *job, const struct attempt_result *result)
+tell (struct egress_job *job, const struct attempt_result *result)
 {
   if (job->done != NULL)
     job->done (job->arg, result);
@@ -75,11 +75,11 @@
 static void
 on_turn (uv_idle_t *idle)
 {
-  struct gate *g = idle->data;
+  struct egress *g = idle->data;
   GList *link;
   while ((link = g_queue_pop_head_link (&g->refused)) != NULL)
     {
-      struct gate_job *job = link->data;
+      struct egress_job *job = link->data;
       struct attempt_result result = job->refusal;
       tell (job, &result);
     }
@@ -88,9 +88,10 @@
 }
 
 static void
-refuse_soon (struct gate_job *job, enum reason reason, int64_t retry_after_ns)
+refuse_soon (struct egress_job *job, enum reason reason,
+             int64_t retry_after_ns)
 {
-  struct gate *g = job->gate;
+  struct egress *g = job->egress;
   job->place = LINEUP_NONE;
   job->refusal = attempt_not_run (reason, retry_after_ns);
   job->in_refused.data = job;
@@ -103,8 +104,8 @@
 static bool
 belongs_to_job (void *arg, const struct headers *headers)
 {
-  const struct gate_job *job = arg;
-  const struct dialect *d = job->gate->dialect;
+  const struct egress_job *job = arg;
+  const struct dialect *d = job->egress->dialect;
   const char *id = headers_find (headers, d->headers[HEADER_REQUEST_ID]);
   return id == NULL || strcmp (id, job->request.id) == 0;
 }
@@ -118,7 +119,7 @@
 }
 
 static bool
-says_not_run (const struct gate *g, const struct http_reply *reply)
+says_not_run (const struct egress *g, const struct http_reply *reply)
 {
   return reply->status == 421
          || headers_find (reply->headers, g->dialect->headers[HEADER_NOT_RUN])
@@ -127,9 +128,9 @@
 
 /* Whether the answer is the target's, whole, and to this job.  */
 static bool
-is_genuine (const struct gate_job *job, const struct http_reply *reply)
+is_genuine (const struct egress_job *job, const struct http_reply *reply)
 {
-  const struct dialect *d = job->gate->dialect;
+  const struct dialect *d = job->egress->dialect;
   const struct headers *h = reply->headers;
   return headers_find (h, d->headers[HEADER_SIGNATURE]) != NULL
          && headers_find (h, d->headers[HEADER_REQUEST_ID]) != NULL
@@ -137,9 +138,9 @@
 }
 
 static struct attempt_result
-shed_result (struct gate_job *job, const struct http_reply *reply)
+shed_result (struct egress_job *job, const struct http_reply *reply)
 {
-  struct gate *g = job->gate;
+  struct egress *g = job->egress;
   struct attempt_result result
       = attempt_not_run (REASON_TARGET_REFUSED, SHED_RETRY_NS);
   result.arrived = true;
@@ -153,10 +154,10 @@
 }
 
 static struct attempt_result
-answer_result (struct gate_job *job, const struct http_reply *reply,
+answer_result (struct egress_job *job, const struct http_reply *reply,
                GString *head, int64_t service_ns)
 {
-  struct gate *g = job->gate;
+  struct egress *g = job->egress;
   if (says_not_run (g, reply))
     return shed_result (job, reply);
   if (!is_genuine (job, reply))
@@ -176,7 +177,7 @@
 }
 
 static struct attempt_result
-failure_result (struct gate *g, const struct http_reply *reply)
+failure_result (struct egress *g, const struct http_reply *reply)
 {
   if (reply->result == HTTP_TIMED_OUT)
     return attempt_unknown (REASON_DEADLINE);
@@ -188,13 +189,13 @@
 }
 
 static void
-count_failure (struct gate *g, bool failed)
+count_failure (struct egress *g, bool failed)
 {
   g->failing += ((failed ? 1.0 : 0.0) - g->failing) * FAILING_WEIGHT;
 }
 
 static void
-log_answer (const struct gate_job *job, const struct attempt_result *r,
+log_answer (const struct egress_job *job, const struct attempt_result *r,
             int64_t service_ns)
 {
   if (r->outcome == OUTCOME_ANSWERED && !r->failure)
@@ -204,14 +205,14 @@
              "target=%s running=%u",
              job->request.id, outcome_word (r->outcome),
              reason_word (r->reason), r->status, (int)(service_ns / NS_PER_MS),
-             job->gate->view.id, lineup_running (job->gate->lineup));
+             job->egress->view.id, lineup_running (job->egress->lineup));
 }
 
 /* The call of JOB is over.  */
 static void
-end_run (struct gate_job *job, bool whole, int64_t service_ns)
+end_run (struct egress_job *job, bool whole, int64_t service_ns)
 {
-  struct gate *g = job->gate;
+  struct egress *g = job->egress;
   job->call = NULL;
   if (job->request.key != ATTEMPT_NO_KEY)
     g->hooks.end_key (g->hooks.arg, job->request.key);
@@ -221,8 +222,8 @@
 static void
 on_reply (void *arg, const struct http_reply *reply)
 {
-  struct gate_job *job = arg;
-  struct gate *g = job->gate;
+  struct egress_job *job = arg;
+  struct egress *g = job->egress;
   GString *head = g_string_new (NULL);
   int64_t service_ns = clock_now_ns () - job->sent_ns;
   struct attempt_result result;
@@ -259,9 +260,9 @@
 }
 
 static GString *
-write_message (const struct gate_job *job, int64_t left_ms)
+write_message (const struct egress_job *job, int64_t left_ms)
 {
-  const struct gate *g = job->gate;
+  const struct egress *g = job->egress;
   const struct attempt_request *r = &job->request;
   GString *out = g_string_sized_new (r->head->len + r->body->len + 200);
   g_string_append_len (out, r->head->str, (gssize)r->head->len);
@@ -277,9 +278,9 @@
 }
 
 static void
-start_job (struct gate_job *job, int64_t now_ns)
+start_job (struct egress_job *job, int64_t now_ns)
 {
-  struct gate *g = job->gate;
+  struct egress *g = job->egress;
   struct attempt_request *r = &job->request;
   int64_t left_ms = (r->deadline_ns - now_ns) / NS_PER_MS;
   enum reason why = REASON_NONE;
@@ -316,7 +317,7 @@
 }
 
 static void
-set_wake (struct gate *g, int64_t now_ns)
+set_wake (struct egress *g, int64_t now_ns)
 {
   int64_t at_ns = lineup_wake_ns (g->lineup);
   if (at_ns == INT64_MAX)
@@ -329,13 +330,13 @@
 }
 
 static void
-run_line (struct gate *g)
+run_line (struct egress *g)
 {
   int64_t now_ns = clock_now_ns ();
   struct lineup_decision d;
   while ((d = lineup_next (g->lineup, now_ns)).verdict != LINEUP_NOTHING)
     {
-      struct gate_job *job = d.user;
+      struct egress_job *job = d.user;
       if (d.verdict == LINEUP_START)
         start_job (job, now_ns);
       else
@@ -344,11 +345,11 @@
   set_wake (g, now_ns);
 }
 
-struct gate *
-gate_open (uv_loop_t *loop, const struct dialect *dialect,
-           const struct settings *settings, const struct gate_hooks *hooks)
+struct egress *
+egress_open (uv_loop_t *loop, const struct dialect *dialect,
+             const struct settings *settings, const struct egress_hooks *hooks)
 {
-  struct gate *g = g_new0 (struct gate, 1);
+  struct egress *g = g_new0 (struct egress, 1);
   g->loop = loop;
   g->dialect = dialect;
   g->hooks = *hooks;
@@ -365,10 +366,10 @@
 }
 
 void
-gate_follow (struct gate *g, const struct target_view *view, bool new_run,
-             int64_t now_ns)
+egress_follow (struct egress *g, const struct target_view *view, bool new_run,
+               int64_t now_ns)
 {
-  struct gate_job *job;
+  struct egress_job *job;
   g->view = *view;
   lineup_set_slots (g->lineup, view->slots);
   if (new_run)
@@ -383,12 +384,12 @@
   run_line (g);
 }
 
-struct gate_job *
-gate_send (struct gate *g, struct attempt_request *request, attempt_done *done,
-           void *arg, int64_t now_ns)
+struct egress_job *
+egress_send (struct egress *g, struct attempt_request *request,
+             attempt_done *done, void *arg, int64_t now_ns)
 {
-  struct gate_job *job = g_new0 (struct gate_job, 1);
-  job->gate = g;
+  struct egress_job *job = g_new0 (struct egress_job, 1);
+  job->egress = g;
   job->request = *request;
   request->head = NULL;
   request->body = NULL;
@@ -426,9 +427,9 @@
 }
 
 void
-gate_abandon (struct gate_job *job)
+egress_abandon (struct egress_job *job)
 {
-  struct gate *g = job->gate;
+  struct egress *g = job->egress;
   job->done = NULL;
   if (job->call == NULL && job->place == LINEUP_NONE)
     return; /* refused: freed when its turn comes */
@@ -448,16 +449,16 @@
 }
 
 void
-gate_set_end (struct gate *g, int64_t end_ns)
+egress_set_end (struct egress *g, int64_t end_ns)
 {
   g->end_ns = end_ns;
 }
 
-struct gate_load
-gate_read_load (const struct gate *g, int64_t now_ns)
+struct target_load
+egress_read_load (const struct egress *g, int64_t now_ns)
 {
   int64_t cold_ms = (g->view.cold_until_ns - now_ns) / NS_PER_MS;
-  return (struct gate_load){
+  return (struct target_load){
     .open = g->view.phase == TARGET_SERVING,
     .slots = g->view.slots,
     .running = lineup_running (g->lineup),
@@ -469,13 +470,13 @@
 }
 
 uint32_t
-gate_busy (const struct gate *g)
+egress_busy (const struct egress *g)
 {
   return g->jobs;
 }
 
 struct http_client *
-gate_client (struct gate *g)
+egress_client (struct egress *g)
 {
   return g->client;
 }
--- a/src/mesh/gate.h
+++ b/src/mesh/egress.h
@@ -1,21 +1,21 @@
-/* The gate in front of this node's target: only it sends to the target.
+/* The way to this node's target: only this module sends to it.
 
    What it turns away did not reach the target.  It runs on the loop's
    thread.  */
 
-#ifndef MESH_GATE_H
-#define MESH_GATE_H
+#ifndef MESH_EGRESS_H
+#define MESH_EGRESS_H
 
 #include "mesh/attempt.h"
 #include "mesh/dialect.h"
 #include "mesh/target_state.h"
 #include <uv.h>
 
-struct gate;
-struct gate_job;
+struct egress;
+struct egress_job;
 
 /* What other nodes hear of the target.  */
-struct gate_load
+struct target_load
 {
   bool open; /* takes requests */
   uint32_t slots;
@@ -26,7 +26,7 @@
   uint32_t cold_left_ms; /* it is slow that much longer */
 };
 
-struct gate_hooks
+struct egress_hooks
 {
   void *arg;
   /* Whether the target holds KEY now: REASON_NONE, or why not.  */
@@ -40,33 +40,34 @@
   void (*lost_target) (void *arg);
 };
 
-struct gate *gate_open (uv_loop_t *loop, const struct dialect *dialect,
-                        const struct settings *settings,
-                        const struct gate_hooks *hooks);
+struct egress *egress_open (uv_loop_t *loop, const struct dialect *dialect,
+                            const struct settings *settings,
+                            const struct egress_hooks *hooks);
 
 /* Follow VIEW: its id, slots and phase.  Requests that wait are turned away
    when the target leaves.  NEW_RUN drops the connections to an earlier run. */
-void gate_follow (struct gate *g, const struct target_view *view, bool new_run,
-                  int64_t now_ns);
+void egress_follow (struct egress *g, const struct target_view *view,
+                    bool new_run, int64_t now_ns);
 
-/* Hand REQUEST, which the gate empties, to the target.  DONE is called once,
+/* Hand REQUEST, which this empties, to the target.  DONE is called once,
    after this returns, unless the job is cancelled.  */
-struct gate_job *gate_send (struct gate *g, struct attempt_request *request,
-                            attempt_done *done, void *arg, int64_t now_ns);
+struct egress_job *egress_send (struct egress *g,
+                                struct attempt_request *request,
+                                attempt_done *done, void *arg, int64_t now_ns);
 
 /* The caller of JOB went away.  What waits is dropped, an idempotent run is
    cut off, any other run goes on unheard.  */
-void gate_abandon (struct gate_job *job);
+void egress_abandon (struct egress_job *job);
 
 /* The node ends at END_NS: what cannot end by then is not begun.  */
-void gate_set_end (struct gate *g, int64_t end_ns);
+void egress_set_end (struct egress *g, int64_t end_ns);
 
-struct gate_load gate_read_load (const struct gate *g, int64_t now_ns);
+struct target_load egress_read_load (const struct egress *g, int64_t now_ns);
 
 /* Requests of this node's target that run or wait.  */
-uint32_t gate_busy (const struct gate *g);
+uint32_t egress_busy (const struct egress *g);
 
 /* The client of the target, for other calls than requests.  */
-struct http_client *gate_client (struct gate *g);
+struct http_client *egress_client (struct egress *g);
 
 #endif
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -8,7 +8,7 @@
 
 #include "base/status.h"
 #include "mesh/attempt.h"
-#include "mesh/gate.h"
+#include "mesh/egress.h"
 #include "settings/settings.h"
 #include <glib.h>
 #include <stddef.h>
@@ -54,7 +54,7 @@
 struct frame_state
 {
   int64_t now_ns; /* the sender's CLOCK_BOOTTIME */
-  struct gate_load load;
+  struct target_load load;
   bool follows_store; /* its last call of the store's watch was answered */
   uint64_t routes_version;
   uint32_t cell_serial; /* 0: it has no document of its service's keys */
--- a/src/mesh/holdings.c
+++ b/src/mesh/holdings.c
@@ -2,9 +2,6 @@
 
 #include <glib.h>
 
-/* A target's clock may run 2% slow: a hold lasts that much longer.  */
-#define SLOW_CLOCK 1.02
-
 struct holding
 {
   int64_t surely_ns;  /* the target holds the key until then */
@@ -155,7 +152,7 @@
 static int64_t
 slow_end (int64_t now_ns, int64_t hold_ns)
 {
-  return now_ns + (int64_t)((double)hold_ns * SLOW_CLOCK);
+  return now_ns + (int64_t)((double)hold_ns * HOLDINGS_SLOW_CLOCK);
 }
 
 void
--- a/src/mesh/holdings.h
+++ b/src/mesh/holdings.h
@@ -14,6 +14,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* A target's clock may run 2% slow, by the platform's pages: a hold lasts that
+   much longer there.  */
+#define HOLDINGS_SLOW_CLOCK 1.02
+
 struct holdings;
 
 /* A run of neighbouring keys.  */
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
-#include "mesh/holdings.h"
+#include "mesh/grants.h"
 #include "own/agent.h"
 #include "settings/address.h"
 #include <inttypes.h>
@@ -13,59 +13,33 @@
 /* Slots of a new cell: one slot is 128 of 65,536 keys, few enough to part
    busy neighbours and to keep the document small.  */
 #define CELL_SLOTS 512
-/* The lease outlives a grant by this: the way to the target on the same
-   instance, and the reading of clocks.  */
-#define GRANT_MARGIN_NS (100 * NS_PER_MS)
-/* No grant is made that is shorter: it would lapse before the next one.  */
-#define GRANT_LEAST_NS (150 * NS_PER_MS)
-/* A target ends work with a failure at the end of the grant under which it
-   began, whatever came since: so grants are long, and are renewed when this
-   part of one is used up.  */
-#define GRANT_FRESH 0.8
-/* Longest wait for the target's answer to a grant: it answers in a
-   moment or is not there.  */
-#define GRANT_TIMEOUT_MS 300
-/* Pause after a grant that failed.  */
-#define GRANT_AGAIN_NS (100 * NS_PER_MS)
-/* A release is answered when what runs has ended.  */
-#define RELEASE_TIMEOUT_MS 2000
 /* How long a move may wait for what runs.  */
 #define MOVE_LIMIT_NS (2 * NS_PER_S)
 /* How long new keys wait for what their last holder hands over: some round
    trips between nodes.  */
 #define HANDOVER_WAIT_NS (60 * NS_PER_MS)
-/* A handover that was not used by then is of no use.  */
-#define HANDOVER_KEEP_NS (10 * NS_PER_S)
 /* Longest sleep: lets a lease that was renewed extend grants in time.  */
 #define ROUND_MS 200
 /* Weight of a new look in the load that the agent is told.  */
 #define LOAD_WEIGHT 0.3
 
-struct token
-{
-  struct frame_handover handover;
-  int64_t until_ns;
-  bool given; /* by this node, to be passed to the new owner */
-};
-
 struct keys
 {
   struct keys_parts parts;
   struct agent_env env;
   struct agent *agent; /* NULL: not a member */
   uint32_t generation; /* of the agent, in store jobs */
-  struct holdings *holdings;
+  struct grants *grants;
+  struct holdings *holdings;          /* of the grants */
   uint32_t in_flight[CELL_SLOTS_MAX]; /* requests at the target, by slot */
   GArray *tokens;                     /* struct token */
   uv_udp_t udp;
   uv_timer_t timer;
   struct target_view target;
-  bool target_lost;
   int64_t lease_ns;
   uint32_t move; /* the move under way, 0: none */
   int64_t move_until_ns;
   bool move_reported;
-  int64_t grant_after_ns;
   uint32_t serial;
   int64_t revision;
   char *document;
@@ -82,16 +56,6 @@
   bool document; /* a document for the agent, not the answer to its read */
 };
 
-/* A grant or release under way.  */
-struct order
-{
-  struct keys *keys;
-  struct key_run run;
-  int64_t sent_ns;
-  int64_t hold_ns; /* 0: a release */
-  uint32_t token;
-};
-
 static void work (struct keys *k);
 
 static struct keys *
@@ -100,177 +64,6 @@
   return (struct keys *)((char *)env - offsetof (struct keys, env));
 }
 
-/* Grants and releases.  */
-
-static void
-log_order (const struct order *o, const char *outcome)
-{
-  log_event (o->hold_ns == 0 ? EV_KEYS_RELEASED : EV_KEYS_GRANTED,
-             "from=%u to=%u token=%u hold_ms=%d outcome=%s", o->run.from,
-             o->run.to, o->token, (int)(o->hold_ns / NS_PER_MS), outcome);
-}
-
-static void
-keep_token (struct keys *k, const struct frame_handover *h, bool given)
-{
-  struct token t = { *h, clock_now_ns () + HANDOVER_KEEP_NS, given };
-  g_array_append_val (k->tokens, t);
-}
-
-static void
-on_granted (void *arg, const struct http_reply *reply)
-{
-  struct order *o = arg;
-  struct keys *k = o->keys;
-  int64_t now_ns = clock_now_ns ();
-  if (reply->result == HTTP_ANSWERED && reply->status == 200)
-    {
-      /* Renewals are counted only.  */
-      if (!holdings_serve (k->holdings, o->run.from, now_ns)
-          || !holdings_serve (k->holdings, o->run.to, now_ns))
-        log_order (o, "granted");
-      holdings_granted (k->holdings, &o->run, o->sent_ns, o->hold_ns, now_ns);
-    }
-  else if (reply->result == HTTP_ANSWERED || reply->result == HTTP_NOT_SENT)
-    {
-      log_order (o, reply->result == HTTP_NOT_SENT ? "not-sent" : "refused");
-      holdings_refused (k->holdings, &o->run);
-      k->grant_after_ns = now_ns + GRANT_AGAIN_NS;
-    }
-  else
-    {
-      log_order (o, "unknown");
-      holdings_doubt (k->holdings, &o->run, o->hold_ns, now_ns);
-      k->grant_after_ns = now_ns + GRANT_AGAIN_NS;
-    }
-  g_free (o);
-  work (k);
-}
-
-static void
-on_released (void *arg, const struct http_reply *reply)
-{
-  struct order *o = arg;
-  struct keys *k = o->keys;
-  bool answered = reply->result == HTTP_ANSWERED && reply->status == 200;
-  holdings_released (k->holdings, &o->run, answered);
-  const char *name = k->parts.dialect->headers[HEADER_HANDOVER];
-  const char *value = answered ? headers_find (reply->headers, name) : NULL;
-  if (value != NULL)
-    {
-      struct frame_handover h = { .from = o->run.from, .to = o->run.to };
-      g_strlcpy (h.token, value, sizeof h.token);
-      keep_token (k, &h, true);
-    }
-  log_order (o, answered ? (value != NULL ? "handover" : "cold") : "unknown");
-  g_free (o);
-  work (k);
-}
-
-static void
-send_order (struct keys *k, const struct key_run *run, int64_t hold_ns,
-            const char *handover, int64_t now_ns)
-{
-  struct order *o = g_new0 (struct order, 1);
-  const struct dialect *d = k->parts.dialect;
-  *o = (struct order){ k, *run, now_ns, hold_ns,
-                       holdings_token (k->holdings) };
-  struct key_order order = {
-    .target_id = k->target.id,
-    .from = run->from,
-    .to = run->to,
-    .token = o->token,
-    .hold_ms = (uint32_t)(hold_ns / NS_PER_MS),
-    .handover = handover,
-  };
-  struct http_call_options options = {
-    .done = hold_ns > 0 ? on_granted : on_released,
-    .arg = o,
-    .timeout_ms = hold_ns > 0 ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS,
-  };
-  holdings_sent (k->holdings, run);
-  counter_add (hold_ns > 0 ? COUNTER_grants_total : COUNTER_releases_total, 1);
-  http_call (k->parts.target,
-             hold_ns > 0 ? d->write_grant (&order) : d->write_release (&order),
-             &options);
-}
-
-/* How long a grant that is made now may last; 0: not at all.  */
-static int64_t
-hold_now_ns (const struct keys *k, int64_t now_ns)
-{
-  int64_t term_ns = k->parts.settings->lease_term_ms * NS_PER_MS;
-  int64_t left_ns = k->lease_ns <= now_ns            ? 0
-                    : k->lease_ns > now_ns + term_ns ? term_ns
-                                                     : k->lease_ns - now_ns;
-  int64_t most_ns = k->parts.settings->hold_max_ms * NS_PER_MS;
-  int64_t hold_ns = (int64_t)((double)(left_ns - GRANT_MARGIN_NS) / 1.02);
-  if (hold_ns > most_ns)
-    hold_ns = most_ns;
-  return hold_ns < GRANT_LEAST_NS ? 0 : hold_ns;
-}
-
-/* A handover, received or of a move that was given up, that lies within RUN,
-   cut so that RUN is its range, or ends before it.  NULL: none.  */
-static struct token *
-cut_at_token (struct keys *k, struct key_run *run, int64_t now_ns)
-{
-  for (guint i = 0; i < k->tokens->len; i++)
-    {
-      struct token *t = &g_array_index (k->tokens, struct token, i);
-      const struct frame_handover *h = &t->handover;
-      if (now_ns > t->until_ns || h->to < run->from || h->from > run->to)
-        continue;
-      if (h->from > run->from)
-        {
-          run->to = h->from - 1;
-          return NULL;
-        }
-      if (h->to < run->to)
-        run->to = h->to;
-      return t;
-    }
-  return NULL;
-}
-
-static void
-grant_due (struct keys *k, int64_t now_ns)
-{
-  struct key_run run;
-  int64_t hold_ns = hold_now_ns (k, now_ns);
-  if (k->agent == NULL || agent_self (k->agent) == 0 || hold_ns == 0
-      || k->target_lost || now_ns < k->grant_after_ns
-      || holdings_token (k->holdings) == 0)
-    return;
-  uint32_t from = 0;
-  while (holdings_due (k->holdings, from, now_ns,
-                       (int64_t)((double)hold_ns * GRANT_FRESH), &run))
-    {
-      char handover[sizeof ((struct frame_handover *)0)->token];
-      struct token *t = cut_at_token (k, &run, now_ns);
-      if (t != NULL)
-        g_strlcpy (handover, t->handover.token, sizeof handover);
-      send_order (k, &run, hold_ns, t == NULL ? NULL : handover, now_ns);
-      if (t != NULL)
-        t->until_ns = 0;
-      from = run.to + 1;
-    }
-}
-
-static void
-release_closed (struct keys *k, int64_t now_ns)
-{
-  struct key_run run;
-  uint32_t from = 0;
-  if (k->move == 0)
-    return;
-  while (holdings_to_release (k->holdings, from, now_ns, &run))
-    {
-      send_order (k, &run, 0, NULL, now_ns);
-      from = run.to + 1;
-    }
-}
-
 /* Tell the agent when nothing of the closed keys is held or runs.  */
 static void
 watch_move (struct keys *k, int64_t now_ns)
@@ -287,14 +80,6 @@
     agent_on_busy (k->agent, k->move, now_ns);
 }
 
-static void
-drop_old_tokens (struct keys *k, int64_t now_ns)
-{
-  for (guint i = k->tokens->len; i > 0; i--)
-    if (g_array_index (k->tokens, struct token, i - 1).until_ns < now_ns)
-      g_array_remove_index_fast (k->tokens, i - 1);
-}
-
 static void
 on_timer (uv_timer_t *timer)
 {
@@ -323,7 +108,8 @@
   int64_t wait_ms = ROUND_MS;
   if (k->agent == NULL)
     return;
-  release_closed (k, now_ns);
+  if (k->move != 0)
+    grants_release_closed (k->grants, now_ns);
   watch_move (k, now_ns);
   int64_t next_ns = agent_tick (k->agent, now_ns);
   if (k->left && next_ns == AGENT_FOREVER_NS)
@@ -331,8 +117,8 @@
       end_agent (k);
       return;
     }
-  grant_due (k, now_ns);
-  drop_old_tokens (k, now_ns);
+  if (agent_self (k->agent) != 0)
+    grants_renew (k->grants, k->lease_ns, now_ns);
   if (next_ns != AGENT_FOREVER_NS && (next_ns - now_ns) / NS_PER_MS < wait_ms)
     wait_ms = (next_ns - now_ns) / NS_PER_MS + 1;
   if (k->move != 0 && !k->move_reported && wait_ms > 10)
@@ -410,34 +196,17 @@
   submit (k, job);
 }
 
-/* Pass the handovers that this node holds to the keys' new owners.  */
-static void
-pass_tokens (struct keys *k, const struct cell *cell)
-{
-  for (guint i = 0; i < k->tokens->len; i++)
-    {
-      struct token *t = &g_array_index (k->tokens, struct token, i);
-      const struct cell_member *owner = owners_find (
-          k->parts.owners, k->parts.settings->service, t->handover.from);
-      if (!t->given || owner == NULL
-          || owner->incarnation == agent_self (k->agent))
-        continue;
-      nodes_hand_over (k->parts.nodes, owner->name, &t->handover);
-      t->until_ns = 0;
-    }
-  (void)cell;
-}
-
+/* Pass a handover to the keys' new owner.  */
 static bool
-has_token_for (const struct keys *k, uint32_t key)
+pass_handover (void *arg, const struct frame_handover *h)
 {
-  for (guint i = 0; i < k->tokens->len; i++)
-    {
-      const struct token *t = &g_array_index (k->tokens, struct token, i);
-      if (!t->given && t->handover.from <= key && key <= t->handover.to)
-        return true;
-    }
-  return false;
+  struct keys *k = arg;
+  const struct cell_member *owner
+      = owners_find (k->parts.owners, k->parts.settings->service, h->from);
+  if (owner == NULL || owner->incarnation == agent_self (k->agent))
+    return false;
+  nodes_hand_over (k->parts.nodes, owner->name, h);
+  return true;
 }
 
 static void
@@ -460,7 +229,7 @@
           = &cell->slots[cell_slot_of_number (cell, i)];
       bool mine = self != 0 && slot->owner == self;
       if (mine && !holdings_is_mine (k->holdings, i) && cell->member_count > 1
-          && !has_token_for (k, i))
+          && !grants_has_handover (k->grants, i))
         holdings_wait (k->holdings, i, now_ns + HANDOVER_WAIT_NS);
       take_key (k, i, mine, slot->epoch);
     }
@@ -487,7 +256,7 @@
   owners_offer (k->parts.owners, s->service, json, length);
   if (view->cell->key_space == s->key_space)
     take_holdings (k, view->cell, view->self, clock_now_ns ());
-  pass_tokens (k, view->cell);
+  grants_pass_handovers (k->grants, pass_handover, k);
   nodes_tell (k->parts.nodes);
 }
 
@@ -609,6 +378,12 @@
   *buffer = uv_buf_init (bytes, sizeof bytes);
 }
 
+static void
+on_grants_changed (void *arg)
+{
+  work (arg);
+}
+
 struct keys *
 keys_open (const struct keys_parts *parts)
 {
@@ -617,8 +392,15 @@
   k->parts = *parts;
   k->env.ops = &env_ops;
   k->lease_ns = AGENT_NEVER_NS;
-  k->holdings = holdings_new (parts->settings->key_space);
-  k->tokens = g_array_new (FALSE, FALSE, sizeof (struct token));
+  struct grants_parts grants_parts = {
+    .dialect = parts->dialect,
+    .settings = parts->settings,
+    .target = parts->target,
+    .changed = on_grants_changed,
+    .arg = k,
+  };
+  k->grants = grants_new (&grants_parts);
+  k->holdings = grants_holdings (k->grants);
   /* No grant of an earlier run was longer than the lease.  */
   holdings_assume (k->holdings,
                    clock_now_ns ()
@@ -673,7 +455,7 @@
            int64_t now_ns)
 {
   k->target = *target;
-  k->target_lost = false;
+  grants_set_target (k->grants, target->id);
   if (new_run && k->agent != NULL)
     end_agent (k);
   if (new_run)
@@ -687,7 +469,7 @@
 void
 keys_lose_target (struct keys *k)
 {
-  k->target_lost = true;
+  grants_lose_target (k->grants);
 }
 
 void
@@ -806,7 +588,7 @@
 {
   if (h->to >= k->parts.settings->key_space || h->from > h->to)
     return;
-  keep_token (k, h, false);
+  grants_keep_handover (k->grants, h);
   for (uint32_t i = h->from; i <= h->to; i++)
     holdings_wait (k->holdings, i, 0);
   work (k);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -4,7 +4,8 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "http/server.h"
-#include "mesh/gate.h"
+#include "mesh/directory.h"
+#include "mesh/egress.h"
 #include "mesh/keys.h"
 #include "mesh/nodes.h"
 #include "mesh/owners.h"
@@ -24,12 +25,6 @@
   INBOX_ITEMS = 512
 };
 
-/* How long a node stays listed that does not renew its entry.  Nothing but
-   the first meeting of nodes hangs on the list.  */
-#define LISTED_S 120
-#define LISTED_RENEW_MS 40000
-/* Pause before the store is asked again for the list.  */
-#define LIST_AGAIN_MS 500
 /* Look at the load of the target for the placement of keys.  */
 #define LOAD_MS 250
 /* The first nodes by name follow the configuration closely: a watch of the
@@ -72,20 +67,18 @@
   struct store_worker *worker;
   struct watcher *watcher;
   struct store *watched; /* the watcher's */
-  struct gate *gate;
+  struct egress *egress;
   struct keys *keys;
   struct nodes *nodes;
+  struct directory *directory;
   struct owners *owners;
   struct router *router;
   struct target_view target;
   struct frame_node self;
-  uv_timer_t list_timer;
   uv_timer_t load_timer;
   uv_timer_t stop_timer;
   uv_signal_t term;
   uv_signal_t hup;
-  int64_t lease;
-  bool listed;
   int64_t fetched_ns;
   int64_t behind_ns;   /* since when a newer document of owners is known */
   char *routes_text;   /* as read, for other nodes */
@@ -110,7 +103,7 @@
   struct mesh *m = arg;
   const struct routes *r = router_routes (m->router);
   state->now_ns = clock_now_ns ();
-  state->load = gate_read_load (m->gate, state->now_ns);
+  state->load = egress_read_load (m->egress, state->now_ns);
   if (m->stopping_ns != 0 && !is_keyed (m))
     state->load.open = false;
   state->follows_store = m->watcher != NULL && watcher_is_well (m->watcher);
@@ -124,7 +117,7 @@
 follow_target (struct mesh *m, bool new_run)
 {
   int64_t now_ns = clock_now_ns ();
-  gate_follow (m->gate, &m->target, new_run, now_ns);
+  egress_follow (m->egress, &m->target, new_run, now_ns);
   if (is_keyed (m) && m->stopping_ns == 0)
     {
       if (m->target.phase == TARGET_SERVING)
@@ -219,7 +212,7 @@
   if (change >= TARGET_NEW_RUN)
     follow_target (m, known && change == TARGET_NEW_RUN);
   else if (change == TARGET_SAME)
-    gate_follow (m->gate, &m->target, false, clock_now_ns ());
+    egress_follow (m->egress, &m->target, false, clock_now_ns ());
   const char *body = m->dialect->heartbeat_answer ();
   http_answer (x, 200, "Content-Type: application/json\r\n", body,
                strlen (body));
@@ -313,14 +306,14 @@
   struct mesh *m = arg;
   if (request->key != ATTEMPT_NO_KEY)
     keys_count (m->keys, (uint32_t)request->key);
-  return gate_send (m->gate, request, done, done_arg, clock_now_ns ());
+  return egress_send (m->egress, request, done, done_arg, clock_now_ns ());
 }
 
 static void
 stop_request (void *arg, void *handle)
 {
   (void)arg;
-  gate_abandon (handle);
+  egress_abandon (handle);
 }
 
 static const char *
@@ -403,120 +396,14 @@
   keys_on_handover (m->keys, h);
 }
 
-/* The list of nodes in the store.  */
-
-static void on_list_timer (uv_timer_t *timer);
-
-static void
-submit (struct mesh *m, struct store_job *job)
-{
-  job->reply_to = m->inbox;
-  if (store_worker_submit (m->worker, job) == STATUS_OK)
-    return;
-  job->status = STATUS_UNAVAILABLE;
-  inbox_put_wait (m->inbox, job);
-}
-
-static void
-submit_entry (struct mesh *m)
-{
-  struct store_job *job = calloc (1, sizeof *job);
-  char text[ADDRESS_TEXT_BYTES];
-  if (job == NULL)
-    abort ();
-  settings_address_text (&m->self.address, text);
-  job->call = STORE_LEASE;
-  job->ttl_s = LISTED_S;
-  job->lease = m->lease;
-  snprintf (job->key, sizeof job->key, "%s/node/%s", m->settings->store_prefix,
-            text);
-  job->data = strdup (text);
-  job->length = strlen (text);
-  submit (m, job);
-}
-
-static void
-submit_list (struct mesh *m)
-{
-  struct store_job *job = calloc (1, sizeof *job);
-  if (job == NULL)
-    abort ();
-  job->call = STORE_LIST;
-  snprintf (job->key, sizeof job->key, "%s/node/", m->settings->store_prefix);
-  submit (m, job);
-}
-
-static void
-on_list_timer (uv_timer_t *timer)
-{
-  struct mesh *m = timer->data;
-  if (m->lease == 0 || m->listed)
-    submit_entry (m);
-  else
-    submit_list (m);
-}
-
-static void
-on_entry (struct mesh *m, const struct store_job *job)
-{
-  if (job->status != STATUS_OK)
-    {
-      m->lease = 0;
-      uv_timer_start (&m->list_timer, on_list_timer, LIST_AGAIN_MS, 0);
-      return;
-    }
-  if (m->lease != job->lease)
-    log_event (EV_ANNOUNCED, "node=%s lease=%" PRId64, m->settings->name,
-               job->lease);
-  m->lease = job->lease;
-  if (m->listed)
-    uv_timer_start (&m->list_timer, on_list_timer, LISTED_RENEW_MS, 0);
-  else
-    submit_list (m);
-}
-
-static void
-learn_text (struct mesh *m, const char *text)
-{
-  struct settings_address address;
-  const char *colon = strrchr (text, ':');
-  long port = colon == NULL ? 0 : strtol (colon + 1, NULL, 10);
-  if (colon == NULL || port < 1 || port > UINT16_MAX
-      || colon - text >= SETTINGS_HOST_BYTES)
-    {
-      log_event (EV_PEER_BAD_MESSAGE, "cause=\"malformed entry\" text=%.60s",
-                 text);
-      return;
-    }
-  snprintf (address.host, sizeof address.host, "%.*s", (int)(colon - text),
-            text);
-  address.port = (uint16_t)port;
-  nodes_learn (m->nodes, &address);
-}
-
-static void
-on_listed (struct mesh *m, const struct store_job *job)
-{
-  if (job->status != STATUS_OK)
-    {
-      uv_timer_start (&m->list_timer, on_list_timer, LIST_AGAIN_MS, 0);
-      return;
-    }
-  for (guint i = 0; i < job->values->len; i++)
-    learn_text (m, g_ptr_array_index (job->values, i));
-  m->listed = true;
-  uv_timer_start (&m->list_timer, on_list_timer, LISTED_RENEW_MS, 0);
-}
+/* Mail.  */
 
 static void
 on_store (struct mesh *m, struct store_job *job)
 {
   if (keys_on_store (m->keys, job, clock_now_ns ()))
     return;
-  if (job->call == STORE_LIST)
-    on_listed (m, job);
-  else
-    on_entry (m, job);
+  directory_on_store (m->directory, job);
   store_job_free (job);
 }
 
@@ -586,7 +473,7 @@
 {
   struct mesh *m = timer->data;
   choose_watch_wait (m);
-  struct gate_load load = gate_read_load (m->gate, clock_now_ns ());
+  struct target_load load = egress_read_load (m->egress, clock_now_ns ());
   uint32_t slots = load.slots > 0 ? load.slots : 1;
   keys_set_load (m->keys, (load.running + load.waiting) * 100 / slots);
 }
@@ -598,7 +485,7 @@
 {
   struct mesh *m = timer->data;
   int64_t since_ns = clock_now_ns () - m->stopping_ns;
-  bool idle = router_busy (m->router) == 0 && gate_busy (m->gate) == 0
+  bool idle = router_busy (m->router) == 0 && egress_busy (m->egress) == 0
               && keys_has_left (m->keys);
   bool late = since_ns > m->settings->drain_ms * NS_PER_MS;
   if (since_ns > STOP_QUIET_NS)
@@ -624,9 +511,9 @@
              router_busy (m->router));
   note_ready (m);
   http_server_drain (m->callers);
-  gate_set_end (m->gate,
-                m->stopping_ns
-                    + (m->settings->drain_ms - END_MARGIN_MS) * NS_PER_MS);
+  egress_set_end (m->egress,
+                  m->stopping_ns
+                      + (m->settings->drain_ms - END_MARGIN_MS) * NS_PER_MS);
   keys_leave (m->keys, m->stopping_ns);
   nodes_tell (m->nodes);
   uv_timer_start (&m->stop_timer, on_stop_timer, STOP_LOOK_MS, STOP_LOOK_MS);
@@ -648,7 +535,7 @@
 open_parts (struct mesh *m)
 {
   struct settings *s = m->settings;
-  struct gate_hooks gate_hooks = {
+  struct egress_hooks egress_hooks = {
     .arg = m,
     .may_serve = may_serve,
     .begin_key = begin_key,
@@ -666,7 +553,7 @@
     .state_changed = state_changed,
     .handover = handover,
   };
-  m->gate = gate_open (&m->loop, m->dialect, s, &gate_hooks);
+  m->egress = egress_open (&m->loop, m->dialect, s, &egress_hooks);
   m->owners = owners_new ();
   m->nodes = nodes_open (&m->loop, &m->self, &nodes_hooks);
   m->worker = store_worker_start (m->dialect->open_store (s));
@@ -674,9 +561,9 @@
     return STATUS_SYSTEM;
   struct keys_parts keys_parts
       = { &m->loop, m->dialect, s,         m->worker,
-          m->inbox, m->nodes,   m->owners, gate_client (m->gate) };
+          m->inbox, m->nodes,   m->owners, egress_client (m->egress) };
   struct router_parts router_parts
-      = { &m->loop, m->dialect, s, m->gate, m->nodes, m->owners };
+      = { &m->loop, m->dialect, s, m->egress, m->nodes, m->owners };
   m->keys = keys_open (&keys_parts);
   m->router = router_open (&router_parts);
   return m->keys == NULL ? STATUS_SYSTEM : STATUS_OK;
@@ -710,14 +597,12 @@
 {
   uv_poll_init (&m->loop, &m->mail, inbox_fd (m->inbox));
   uv_prepare_init (&m->loop, &m->before_sleep);
-  uv_timer_init (&m->loop, &m->list_timer);
   uv_timer_init (&m->loop, &m->load_timer);
   uv_timer_init (&m->loop, &m->stop_timer);
   uv_signal_init (&m->loop, &m->term);
   uv_signal_init (&m->loop, &m->hup);
   m->mail.data = m;
   m->before_sleep.data = m;
-  m->list_timer.data = m;
   m->load_timer.data = m;
   m->stop_timer.data = m;
   m->term.data = m;
@@ -727,7 +612,9 @@
   uv_signal_start (&m->term, on_term, SIGTERM);
   uv_signal_start (&m->hup, on_hup, SIGHUP);
   uv_timer_start (&m->load_timer, on_load_timer, LOAD_MS, LOAD_MS);
-  submit_entry (m);
+  struct directory_parts parts
+      = { &m->loop, m->settings, m->worker, m->inbox, m->nodes };
+  m->directory = directory_open (&parts);
 }
 
 static void
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -541,7 +541,14 @@
 nodes_learn (struct nodes *p, const struct settings_address *address)
 {
   char text[ADDRESS_TEXT_BYTES];
+  struct sockaddr_storage at;
   struct peer *peer = find_address (p, address);
+  if (settings_sockaddr (address, &at) != STATUS_OK)
+    {
+      log_event (EV_PEER_BAD_MESSAGE, "cause=\"address\" host=%s",
+                 address->host);
+      return;
+    }
   if (peer != NULL)
     {
       /* It lives: dial at once if that has failed before.  */
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -64,7 +64,7 @@
   bool in_doubt;    /* an earlier send may have run */
   GPtrArray *tried; /* names of targets it was sent to */
   char *at;         /* the node that has it */
-  struct gate_job *job;
+  struct egress_job *job;
   struct node_call *call;
   uv_timer_t timer;
   struct attempt_result last; /* why it has not been answered */
@@ -95,7 +95,7 @@
 drop_attempt (struct pending *p)
 {
   if (p->job != NULL)
-    gate_abandon (p->job);
+    egress_abandon (p->job);
   if (p->call != NULL)
     nodes_drop (p->call);
   p->job = NULL;
@@ -422,7 +422,7 @@
       .name = parts->settings->name,
       .same_zone = true,
       .tried = was_tried (p, parts->settings->name),
-      .load = gate_read_load (parts->gate, now_ns),
+      .load = egress_read_load (parts->egress, now_ns),
     };
   nodes_visit (parts->nodes, add_peer, &c);
   int best = balance_pick (p->router->paces, c.list, c.count, p->request.kind,
@@ -458,7 +458,7 @@
       struct attempt_request copy;
       copy_request (&copy, &p->request);
       counter_add (COUNTER_requests_local_total, 1);
-      p->job = gate_send (parts->gate, &copy, on_result, p, now_ns);
+      p->job = egress_send (parts->egress, &copy, on_result, p, now_ns);
       return true;
     }
   p->call = nodes_send (parts->nodes, name, &p->request, on_result, p);
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -6,7 +6,7 @@
 
 #include "http/server.h"
 #include "mesh/dialect.h"
-#include "mesh/gate.h"
+#include "mesh/egress.h"
 #include "mesh/nodes.h"
 #include "mesh/owners.h"
 #include "mesh/routes.h"
@@ -19,7 +19,7 @@
   uv_loop_t *loop;
   const struct dialect *dialect;
   const struct settings *settings;
-  struct gate *gate;
+  struct egress *egress;
   struct nodes *nodes;
   struct owners *owners;
 };
