--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -61,7 +61,6 @@
   lineup_id last;
   uint32_t lowest; /* the last priority of all that were offered */
   double pace;
-  bool held;
 };
 
 struct lineup *
@@ -93,12 +92,6 @@
   l->slots = slots > 0 ? slots : 1;
 }
 
-void
-lineup_hold (struct lineup *l, bool held)
-{
-  l->held = held;
-}
-
 static struct entry *
 find (const struct lineup *l, lineup_id id)
 {
@@ -207,7 +200,7 @@
 static bool
 has_room (const struct lineup *l)
 {
-  return !l->held && l->running < l->slots;
+  return l->running < l->slots;
 }
 
 static void
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -61,9 +61,6 @@
 /* The target runs SLOTS requests at once from now on.  */
 void lineup_set_slots (struct lineup *l, uint32_t slots);
 
-/* Nothing starts while a line is held.  */
-void lineup_hold (struct lineup *l, bool held);
-
 /* Decide on a new request: START, WAIT or REFUSE.  */
 struct lineup_decision lineup_offer (struct lineup *l,
                                      const struct lineup_request *r,
--- a/src/mesh/dialect.h
+++ b/src/mesh/dialect.h
@@ -21,7 +21,6 @@
   HEADER_TIME_LEFT_MS, /* how long the sender still waits */
   HEADER_SIGNATURE,    /* the target's proof of its answer */
   HEADER_TARGET_ID,    /* the only target that may run the request */
-  HEADER_LOAD,         /* running, waiting, slots */
   HEADER_NOT_RUN,      /* the target states that it did not run it */
   HEADER_CALLER,       /* the service at the instance of the caller */
   HEADER_KEY,          /* the number of the key */
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -366,8 +366,7 @@
 }
 
 void
-egress_follow (struct egress *g, const struct target_view *view, bool new_run,
-               int64_t now_ns)
+egress_follow (struct egress *g, const struct target_view *view, bool new_run)
 {
   struct egress_job *job;
   g->view = *view;
@@ -380,7 +379,6 @@
   if (view->phase != TARGET_SERVING)
     while ((job = lineup_take (g->lineup)) != NULL)
       refuse_soon (job, REASON_DRAINING, CLOSED_RETRY_NS);
-  (void)now_ns;
   run_line (g);
 }
 
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -47,7 +47,7 @@
 /* Follow VIEW: its id, slots and phase.  Requests that wait are turned away
    when the target leaves.  NEW_RUN drops the connections to an earlier run. */
 void egress_follow (struct egress *g, const struct target_view *view,
-                    bool new_run, int64_t now_ns);
+                    bool new_run);
 
 /* Hand REQUEST, which this empties, to the target.  DONE is called once,
    after this returns, unless the job is cancelled.  */
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -81,10 +81,8 @@
   uv_signal_t hup;
   int64_t fetched_ns;
   int64_t behind_ns;   /* since when a newer document of owners is known */
-  char *routes_text;   /* as read, for other nodes */
   int64_t stopping_ns; /* since when; 0: no */
   bool was_ready;
-  bool stopped;
 };
 
 /* State for other nodes.  */
@@ -117,7 +115,7 @@
 follow_target (struct mesh *m, bool new_run)
 {
   int64_t now_ns = clock_now_ns ();
-  egress_follow (m->egress, &m->target, new_run, now_ns);
+  egress_follow (m->egress, &m->target, new_run);
   if (is_keyed (m) && m->stopping_ns == 0)
     {
       if (m->target.phase == TARGET_SERVING)
@@ -212,7 +210,7 @@
   if (change >= TARGET_NEW_RUN)
     follow_target (m, known && change == TARGET_NEW_RUN);
   else if (change == TARGET_SAME)
-    egress_follow (m->egress, &m->target, false, clock_now_ns ());
+    egress_follow (m->egress, &m->target, false);
   const char *body = m->dialect->heartbeat_answer ();
   http_answer (x, 200, "Content-Type: application/json\r\n", body,
                strlen (body));
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -616,15 +616,6 @@
   return NULL;
 }
 
-bool
-nodes_find (const struct nodes *p, const char *name, struct node_view *view)
-{
-  const struct peer *peer = find_name (p, name);
-  if (peer != NULL)
-    fill_view (peer, view);
-  return peer != NULL;
-}
-
 struct node_call *
 nodes_send (struct nodes *p, const char *name,
             const struct attempt_request *request, attempt_done *done,
@@ -692,15 +683,3 @@
         link_send (in->link, frame_state (NULL, &state));
     }
 }
-
-unsigned
-nodes_count (const struct nodes *p)
-{
-  unsigned count = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, p->by_address);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += ((const struct peer *)value)->up;
-  return count;
-}
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -58,10 +58,6 @@
 typedef bool nodes_each (void *arg, const struct node_view *view);
 void nodes_visit (const struct nodes *p, nodes_each *each, void *arg);
 
-/* The node NAME, if it answers.  */
-bool nodes_find (const struct nodes *p, const char *name,
-                 struct node_view *view);
-
 /* Send REQUEST, which stays the caller's, to the node NAME.  DONE is called
    once, later, unless the call is dropped.  NULL when the node does not
    answer.  */
@@ -83,7 +79,4 @@
 /* Tell all other nodes this node's state now.  */
 void nodes_tell (struct nodes *p);
 
-/* The number of nodes that answer.  */
-unsigned nodes_count (const struct nodes *p);
-
 #endif
