Try ill targets again in a while

Cause: what a node learned of a target stays as long as it sends nothing there; a target that was grey or slow could stay shunned after it was well. Change: the share of failures halves in 2 s without sends; paces go back to the mean, half of the way in 17 s.

--- a/src/mesh/balance.c
+++ b/src/mesh/balance.c
@@ -12,6 +12,9 @@
 #define PACE_WEIGHT (1.0 / 6)
 #define PACE_LEAST 0.2
 #define PACE_MOST 8.0
+/* A step back to the mean: half of the way in about 17 s.  Faster would hide
+   that targets differ in speed.  */
+#define RELAX_WEIGHT 0.01
 /* Part of the wanted time that an answer from the own zone may be expected to
    take: service times spread by a third around their mean.  */
 #define NEAR_SHARE 0.6
@@ -74,6 +77,19 @@
   *mean += (took_ns - *mean) * KIND_WEIGHT;
 }
 
+void
+paces_relax (struct paces *p)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, p->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      double *pace = value;
+      *pace += (1 - *pace) * RELAX_WEIGHT;
+    }
+}
+
 void
 paces_forget (struct paces *p, const char *target)
 {
--- a/src/mesh/balance.h
+++ b/src/mesh/balance.h
@@ -17,6 +17,11 @@
 /* Service times by kind of request and target, as this node saw them.  */
 struct paces;
 
+enum
+{
+  BALANCE_RELAX_MS = 250
+};
+
 struct paces *paces_new (void);
 void paces_free (struct paces *p);
 
@@ -24,6 +29,10 @@
 void paces_learn (struct paces *p, const char *target, uint32_t kind,
                   int64_t service_ns);
 
+/* Let every target's pace come a step back to the mean: one that was slow and
+   gets nothing is tried again in a while.  Called each BALANCE_RELAX_MS.  */
+void paces_relax (struct paces *p);
+
 /* Forget what was learned of TARGET: it is another run.  */
 void paces_forget (struct paces *p, const char *target);
 
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -6,6 +6,7 @@
 #include "http/client.h"
 #include "limit/lineup.h"
 #include "settings/address.h"
+#include <math.h>
 #include <string.h>
 
 /* The target ends what it runs at its deadline: its answer may come that much
@@ -15,6 +16,9 @@
 #define SPARE_CONNECTIONS 8
 /* Weight of a new send in the share of failures: about ten sends count.  */
 #define FAILING_WEIGHT 0.1
+/* Without sends the share of failures halves in this time: a target that was
+   ill is tried again.  */
+#define FAILING_HALF_NS (2 * NS_PER_S)
 /* Least time left that is worth a send.  */
 #define SEND_LEAST_MS 2
 /* A target that shed a request is full or ill: come back after a short
@@ -37,7 +41,8 @@
   uv_idle_t turn; /* runs while decisions wait to be told */
   GQueue refused; /* jobs to be told of */
   double failing;
-  int64_t end_ns; /* of this node */
+  int64_t failing_ns; /* when it was counted */
+  int64_t end_ns;     /* of this node */
   uint32_t jobs;
 };
 
@@ -188,9 +193,18 @@
   return attempt_not_run (REASON_TARGET_UNREACHABLE, CLOSED_RETRY_NS);
 }
 
+/* The share of failures at NOW_NS.  */
+static double
+failing_now (const struct egress *g, int64_t now_ns)
+{
+  double halves = (double)(now_ns - g->failing_ns) / (double)FAILING_HALF_NS;
+  return g->failing * exp2 (-halves);
+}
+
 static void
 count_failure (struct egress *g, bool failed)
 {
+  g->failing_ns = clock_now_ns ();
   g->failing += ((failed ? 1.0 : 0.0) - g->failing) * FAILING_WEIGHT;
 }
 
@@ -462,7 +476,7 @@
     .running = lineup_running (g->lineup),
     .waiting = lineup_waiting (g->lineup),
     .wait_ms = (uint32_t)(lineup_wait_ns (g->lineup) / NS_PER_MS),
-    .failing_pct = (uint32_t)(g->failing * 100),
+    .failing_pct = (uint32_t)(failing_now (g, now_ns) * 100),
     .cold_left_ms = cold_ms > 0 ? (uint32_t)cold_ms : 0,
   };
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "http/server.h"
+#include "mesh/balance.h"
 #include "mesh/directory.h"
 #include "mesh/egress.h"
 #include "mesh/keys.h"
@@ -26,7 +27,7 @@
 };
 
 /* Look at the load of the target for the placement of keys.  */
-#define LOAD_MS 250
+#define LOAD_MS BALANCE_RELAX_MS
 /* The first nodes by name follow the configuration closely: a watch of the
    store may miss a change until its wait ends.  The others hear of it from
    them, and watch in case that they do not.  */
@@ -471,6 +472,7 @@
 {
   struct mesh *m = timer->data;
   choose_watch_wait (m);
+  router_relax (m->router);
   struct target_load load = egress_read_load (m->egress, clock_now_ns ());
   uint32_t slots = load.slots > 0 ? load.slots : 1;
   keys_set_load (m->keys, (load.running + load.waiting) * 100 / slots);
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -690,6 +690,12 @@
   paces_forget (r->paces, name);
 }
 
+void
+router_relax (struct router *r)
+{
+  paces_relax (r->paces);
+}
+
 unsigned
 router_busy (const struct router *r)
 {
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -44,6 +44,9 @@
 /* The target NAME is another run.  */
 void router_forget (struct router *r, const char *name);
 
+/* Called each BALANCE_RELAX_MS.  */
+void router_relax (struct router *r);
+
 /* Requests that have no answer yet.  */
 unsigned router_busy (const struct router *r);
 
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -183,6 +183,9 @@
   else if (is (words, "learn"))
     for (long i = 0; i < script_number (count, words, "times", 20); i++)
       paces_learn (w->paces, words[1], 1, span_of (count, words, "took", 100));
+  else if (is (words, "relax"))
+    for (long i = 0; i < script_number (count, words, "times", 1); i++)
+      paces_relax (w->paces);
   else if (is (words, "forget"))
     paces_forget (w->paces, words[1]);
   else if (is (words, "pick"))
