Test what stands on the wire of the platform and between nodes

Heartbeats, forged ones, leaves, routes, malformed ones, bounds; requests and cut frames between nodes.

--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 /* Time between two states that tell nothing new: a third of the silence
-   after which a node counts as lost.  Each state is some 40 bytes.  */
+   after which a node counts as lost.  Each state is 26 bytes.  */
 #define STATE_MS 500
 /* Beyond this number of nodes states are rarer in proportion, so that control
    takes the same part of a node.  */
--- /dev/null
+++ b/test/unit/test_platform.c
@@ -0,0 +1,241 @@
+/* Tests of what stands on the wire: the users' platform, and the frames
+   between nodes.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/frame.h"
+#include "platform.h"
+
+#define PATH "/-/instances/i-1/heartbeat"
+#define REST                                                                  \
+  "\"service_name\":\"s\",\"zone\":\"z\",\"version\":\"v1\","                 \
+  "\"capacity_slots\":9,\"warmup_left_ms\":5"
+
+static enum status
+read_report (const char *body, struct target_report *report)
+{
+  enum target_call call;
+  return platform_read_target_call ("POST", PATH, body, strlen (body), &call,
+                                    report);
+}
+
+static void
+a_heartbeat_is_read (void **state)
+{
+  struct target_report r;
+  (void)state;
+  assert_int_equal (read_report ("{" REST ",\"address\":\"10.0.0.1:80\","
+                                 "\"state\":\"draining\",\"sequence\":7}",
+                                 &r),
+                    STATUS_OK);
+  assert_string_equal (r.id, "i-1");
+  assert_string_equal (r.service, "s");
+  assert_string_equal (r.address.host, "10.0.0.1");
+  assert_int_equal (r.address.port, 80);
+  assert_int_equal (r.state, TARGET_DRAINING);
+  assert_int_equal (r.sequence, 7);
+  assert_int_equal (r.slots, 9);
+  assert_int_equal (r.cold_ms, 5);
+  assert_int_equal (r.started_ms, 0);
+}
+
+/* What another writer may send names no target.  */
+static void
+a_forged_heartbeat_is_refused (void **state)
+{
+  static const char *const bodies[] = {
+    "",
+    "nonsense",
+    "[]",
+    "{" REST ",\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}",
+    "{" REST ",\"address\":\"10.0.0.1:80\",\"state\":\"odd\",\"sequence\":1}",
+    "{" REST ",\"address\":\"name:80\",\"state\":\"ready\",\"sequence\":1}",
+    "{" REST ",\"address\":\"10.0.0.1\",\"state\":\"ready\",\"sequence\":1}",
+    "{" REST ",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+    "\"sequence\":\"1\"}",
+    "{" REST ",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+    "\"sequence\":-1}",
+    "{" REST ",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+    "\"sequence\":1,\"born\":1.5}",
+    "{" REST ",\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+    "\"sequence\":1,\"sequence\":2}",
+  };
+  struct target_report r;
+  (void)state;
+  for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
+    if (read_report (bodies[i], &r) != STATUS_INVALID)
+      fail_msg ("taken: %s", bodies[i]);
+}
+
+static void
+other_calls_are_told_apart (void **state)
+{
+  struct target_report r;
+  enum target_call call;
+  (void)state;
+  assert_int_equal (platform_read_target_call ("POST",
+                                               "/-/instances/i-1/deregister",
+                                               "{\"born\":5}", 10, &call, &r),
+                    STATUS_OK);
+  assert_int_equal (call, CALL_GONE);
+  assert_int_equal (r.started_ms, 5);
+  assert_int_equal (platform_read_target_call (
+                        "POST", "/-/instances//deregister", "", 0, &call, &r),
+                    STATUS_NOT_FOUND);
+  assert_int_equal (platform_read_target_call ("POST",
+                                               "/-/instances/a/b/heartbeat",
+                                               "{}", 2, &call, &r),
+                    STATUS_NOT_FOUND);
+  assert_int_equal (platform_read_target_call ("GET", PATH, "", 0, &call, &r),
+                    STATUS_NOT_FOUND);
+}
+
+#define LIMITS                                                                \
+  "{\"resource_type\":\"limits\",\"metadata\":{},\"spec\":{"                  \
+  "\"max_header_bytes\":1,\"max_body_bytes\":2,\"header_timeout_ms\":3,"      \
+  "\"idle_timeout_ms\":4}}"
+#define SERVICE                                                               \
+  "{\"resource_type\":\"services\",\"metadata\":{\"name\":\"a\"},\"spec\":{"  \
+  "\"max_connections\":7,\"sharded\":true}}"
+#define ROUTE(target)                                                         \
+  "{\"resource_type\":\"routes\",\"metadata\":{\"name\":\"r\"},\"spec\":{"    \
+  "\"host\":\"h\",\"prefix\":\"/p/\",\"kind\":\"idempotent\","                \
+  "\"timeout_ms\":5,\"target_latency_ms\":6,\"max_attempts\":2," target "}}"
+
+static enum status
+read_routes (const char *text, struct routes **routes)
+{
+  return platform_read_routes (text, strlen (text), routes);
+}
+
+static void
+routes_are_read (void **state)
+{
+  struct routes *r = NULL;
+  (void)state;
+  /* A route may stand before the service that it names.  */
+  assert_int_equal (
+      read_routes ("{\"version\":\"r12\",\"entries\":[" ROUTE (
+                       "\"weighted_clusters\":[{\"service_name\":\"a\","
+                       "\"weight\":90}]") "," SERVICE "," LIMITS "]}",
+                   &r),
+      STATUS_OK);
+  assert_int_equal (r->version, 12);
+  const struct route *route = routes_find (r, "h", "/p/x");
+  assert_non_null (route);
+  assert_int_equal (route->parts[0].weight, 90);
+  assert_true (route->idempotent);
+  assert_true (g_array_index (r->services, struct service_policy, 0).keyed);
+  assert_int_equal (r->limits.idle_timeout_ms, 4);
+  routes_release (r);
+}
+
+static void
+malformed_routes_are_refused (void **state)
+{
+  static const char *const texts[] = {
+    "",
+    "{}",
+    "{\"version\":\"12\",\"entries\":[" LIMITS "]}",
+    "{\"version\":\"r12\",\"entries\":[]}",
+    "{\"version\":\"r12\",\"entries\":[" LIMITS
+    "," ROUTE ("\"service_name\":\"unknown\"") "]}",
+    "{\"version\":\"r12\",\"entries\":[" LIMITS "," SERVICE
+    ",{\"resource_type\":\"routes\",\"metadata\":{\"name\":\"r\"},"
+    "\"spec\":{\"host\":\"h\"}}]}",
+  };
+  struct routes *r = NULL;
+  (void)state;
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    if (read_routes (texts[i], &r) != STATUS_INVALID)
+      fail_msg ("taken: %s", texts[i]);
+}
+
+static void
+bounds_are_applied_or_refused (void **state)
+{
+  static struct settings s;
+  (void)state;
+  settings_defaults (&s);
+  strcpy (s.bounds, "{\"hold_max_ms\":7000,\"grace_s\":6,"
+                    "\"budget_ratio\":0.2,\"budget_slack\":62}");
+  assert_int_equal (platform_dialect ()->apply_bounds (&s), STATUS_OK);
+  assert_int_equal (s.hold_max_ms, 7000);
+  assert_int_equal (s.drain_ms, 5750);
+  assert_int_equal (s.retry_ratio_pct, 20);
+  assert_int_equal (s.retry_stored, 3);
+  strcpy (s.bounds, "grace_s=6");
+  assert_int_equal (platform_dialect ()->apply_bounds (&s), STATUS_INVALID);
+  assert_int_equal (s.drain_ms, 5750);
+}
+
+static void
+a_request_crosses_between_nodes (void **state)
+{
+  struct attempt_request q = {
+    .id = "abc",
+    .kind = 5,
+    .idempotent = true,
+    .priority = 1,
+    .wanted_ns = 1000,
+    .deadline_ns = 2000,
+    .key = 65535,
+    .head = g_string_new ("GET / HTTP/1.1\r\n"),
+    .body = g_string_new_len ("a\0b", 3),
+  };
+  struct frame f;
+  (void)state;
+  GString *out = frame_request (77, &q, 500);
+  assert_int_equal (frame_read (out->str + FRAME_HEADER_BYTES,
+                                out->len - FRAME_HEADER_BYTES, &f),
+                    STATUS_OK);
+  assert_int_equal (f.kind, FRAME_REQUEST);
+  assert_int_equal (f.number, 77);
+  assert_string_equal (f.request.id, "abc");
+  assert_int_equal (f.request.key, 65535);
+  /* Times are the receiver's, whose clock is ahead by 500.  */
+  assert_int_equal (f.request.deadline_ns, 2500);
+  assert_int_equal (f.request.body->len, 3);
+  attempt_request_clear (&f.request);
+  attempt_request_clear (&q);
+  g_string_free (out, TRUE);
+}
+
+static void
+a_cut_frame_is_refused (void **state)
+{
+  struct frame_state s = { .now_ns = 5, .load.slots = 9 };
+  struct frame f;
+  (void)state;
+  GString *out = frame_state (NULL, &s);
+  size_t length = out->len - FRAME_HEADER_BYTES;
+  const char *bytes = out->str + FRAME_HEADER_BYTES;
+  assert_int_equal (frame_read (bytes, length, &f), STATUS_OK);
+  assert_int_equal (f.state.load.slots, 9);
+  for (size_t cut = 0; cut < length; cut++)
+    assert_int_equal (frame_read (bytes, cut, &f), STATUS_INVALID);
+  g_string_free (out, TRUE);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_heartbeat_is_read),
+    cmocka_unit_test (a_forged_heartbeat_is_refused),
+    cmocka_unit_test (other_calls_are_told_apart),
+    cmocka_unit_test (routes_are_read),
+    cmocka_unit_test (malformed_routes_are_refused),
+    cmocka_unit_test (bounds_are_applied_or_refused),
+    cmocka_unit_test (a_request_crosses_between_nodes),
+    cmocka_unit_test (a_cut_frame_is_refused),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
