Sum the counters in a log line every ten seconds

Cause: what single lines do not tell (plain successes, bytes, store calls) could be seen only on the metrics address, which is gone with the process.

Change: COUNTED tells the growth of each counter every 10 s and at the end.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -50,3 +50,26 @@
   fclose (out);
   return text;
 }
+
+void
+counter_growth (char *text, size_t room)
+{
+  static uint64_t told[COUNTER_COUNT];
+  size_t used = 0;
+  text[0] = '\0';
+  for (int c = 0; c < COUNTER_COUNT; c++)
+    {
+      uint64_t value = counter_get ((enum counter)c);
+      if (value == told[c])
+        continue;
+      int length = snprintf (text + used, room - used, " %s=%" PRIu64,
+                             catalogue[c].name, value - told[c]);
+      if (length < 0 || (size_t)length >= room - used)
+        {
+          text[used] = '\0';
+          return;
+        }
+      used += (size_t)length;
+      told[c] = value;
+    }
+}
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -34,6 +34,10 @@
 #define CLOSE_WATCHERS 2
 #define CLOSE_WAIT_MS 1000
 #define FAR_WAIT_MS 8000
+/* Time between two lines that sum what single lines do not tell.  */
+#define COUNT_MS 10000
+/* Room for the counters of a line, below the length of a log line.  */
+#define COUNT_BYTES 800
 /* Pause between looks at whether all work has ended, when stopping.  */
 #define STOP_LOOK_MS 50
 /* What runs at the target must end that much before this node does.  */
@@ -78,6 +82,7 @@
   struct frame_node self;
   uv_timer_t load_timer;
   uv_timer_t stop_timer;
+  uv_timer_t count_timer;
   uv_signal_t term;
   uv_signal_t hup;
   int64_t fetched_ns;
@@ -478,6 +483,20 @@
   keys_set_load (m->keys, (load.running + load.waiting) * 100 / slots);
 }
 
+static void
+tell_counters (const struct mesh *m)
+{
+  char text[COUNT_BYTES];
+  counter_growth (text, sizeof text);
+  log_event (EV_COUNTED, "node=%s%s", m->settings->name, text);
+}
+
+static void
+on_count_timer (uv_timer_t *timer)
+{
+  tell_counters (timer->data);
+}
+
 /* Stopping.  */
 
 static void
@@ -599,12 +618,14 @@
   uv_prepare_init (&m->loop, &m->before_sleep);
   uv_timer_init (&m->loop, &m->load_timer);
   uv_timer_init (&m->loop, &m->stop_timer);
+  uv_timer_init (&m->loop, &m->count_timer);
   uv_signal_init (&m->loop, &m->term);
   uv_signal_init (&m->loop, &m->hup);
   m->mail.data = m;
   m->before_sleep.data = m;
   m->load_timer.data = m;
   m->stop_timer.data = m;
+  m->count_timer.data = m;
   m->term.data = m;
   m->hup.data = m;
   uv_poll_start (&m->mail, UV_READABLE, on_mail);
@@ -612,6 +633,7 @@
   uv_signal_start (&m->term, on_term, SIGTERM);
   uv_signal_start (&m->hup, on_hup, SIGHUP);
   uv_timer_start (&m->load_timer, on_load_timer, LOAD_MS, LOAD_MS);
+  uv_timer_start (&m->count_timer, on_count_timer, COUNT_MS, COUNT_MS);
   struct directory_parts parts
       = { &m->loop, m->settings, m->worker, m->inbox, m->nodes };
   m->directory = directory_open (&parts);
@@ -667,6 +689,7 @@
              settings->retry_ratio_pct, settings->retry_stored);
   start_events (&m);
   uv_run (&m.loop, UV_RUN_DEFAULT);
+  tell_counters (&m);
   log_event (EV_STOPPED, "node=%s after_ms=%d", settings->name,
              (int)((clock_now_ns () - m.stopping_ns) / NS_PER_MS));
   return EXIT_SUCCESS;
