Pass documents of owners on by zone, packed, and ask once

Each member told all nodes of each document that it learned (39 x 74 frames a change), each node fetched the whole document of some 15 kB, members twice (the agent and the mesh), and most of it across zones. Nodes busy with it were late: half of the requests of the first two seconds were not served in time.

Change: who writes a document tells all, the other members tell their own zone; one member of each zone fetches from another zone, the others from it (src/mesh/fetches.c, one decision for the agent and the mesh); documents are packed with zlib. A router that is told not-owner asks the teller at once.

Four requests came to a target that did not hold the key (421, not run): open.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CSTD = -std=gnu11
 OPT ?= -O2 -g
 SAN ?=
-PKGS = ck libzmq yaml-0.1 libmicrohttpd libcurl glib-2.0 libxxhash jansson msgpack libuv
+PKGS = ck libzmq yaml-0.1 libmicrohttpd libcurl glib-2.0 libxxhash jansson msgpack libuv zlib
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm -lhttp_parser
 CFLAGS_ALL = $(CSTD) $(OPT) $(SAN) -Wall -Wextra -Werror -D_GNU_SOURCE \
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "mesh/grants.h"
+#include "mesh/pack.h"
 #include "own/agent.h"
 #include "settings/address.h"
 #include <inttypes.h>
@@ -44,7 +45,9 @@
   int64_t revision;
   char *document;
   size_t document_length;
+  GString *packed; /* the document, once a node has asked for it */
   double load;
+  bool own_change; /* what is published now was written here */
   bool leaving;
   bool left;
 };
@@ -188,8 +191,7 @@
            uint64_t serial)
 {
   struct keys *k = from_env (env);
-  (void)serial;
-  if (nodes_fetch (k->parts.nodes, from, FRAME_CELL))
+  if (k->parts.fetch (k->parts.arg, from, (uint32_t)serial))
     return;
   struct keys_job *job = new_job (STORE_READ);
   job->document = true;
@@ -249,6 +251,9 @@
   struct keys *k = from_env (env);
   const struct settings *s = k->parts.settings;
   g_free (k->document);
+  if (k->packed != NULL)
+    g_string_free (k->packed, TRUE);
+  k->packed = NULL;
   k->document = g_strndup (json, length);
   k->document_length = length;
   k->revision = view->revision;
@@ -257,7 +262,11 @@
   if (view->cell->key_space == s->key_space)
     take_holdings (k, view->cell, view->self, clock_now_ns ());
   grants_pass_handovers (k->grants, pass_handover, k);
-  nodes_tell (k->parts.nodes);
+  /* Each zone hears of it by itself, from its own members.  */
+  if (k->own_change)
+    nodes_tell (k->parts.nodes);
+  else
+    nodes_tell_zone (k->parts.nodes);
 }
 
 static void
@@ -561,7 +570,11 @@
       return true;
     }
   if (job->call == STORE_SWAP)
-    agent_on_swap (k->agent, job->status, job->revision, now_ns);
+    {
+      k->own_change = true;
+      agent_on_swap (k->agent, job->status, job->revision, now_ns);
+      k->own_change = false;
+    }
   else if (!own->document)
     agent_on_read (k->agent, job->status, job->value.revision, job->value.data,
                    job->value.length, now_ns);
@@ -595,11 +608,13 @@
 }
 
 const char *
-keys_document (const struct keys *k, size_t *length, int64_t *revision)
+keys_document (struct keys *k, size_t *length, int64_t *revision)
 {
-  *length = k->document_length;
+  if (k->packed == NULL && k->document != NULL)
+    k->packed = pack (k->document, k->document_length);
+  *length = k->packed == NULL ? 0 : k->packed->len;
   *revision = k->revision;
-  return k->document;
+  return k->packed == NULL ? NULL : k->packed->str;
 }
 
 uint32_t
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -29,6 +29,11 @@
   struct nodes *nodes;
   struct owners *owners;
   struct http_client *target;
+  /* Get the document SERIAL of the own service; the node at FROM has it.
+     False when no node that has it answers.  */
+  bool (*fetch) (void *arg, const struct settings_address *from,
+                 uint32_t serial);
+  void *arg;
 };
 
 /* NULL with a message when the address for leases cannot be bound.  */
@@ -73,8 +78,8 @@
 
 void keys_on_handover (struct keys *k, const struct frame_handover *h);
 
-/* The own service's document for other nodes; NULL: none.  */
-const char *keys_document (const struct keys *k, size_t *length,
+/* The own service's document, packed, for other nodes; NULL: none.  */
+const char *keys_document (struct keys *k, size_t *length,
                            int64_t *revision);
 uint32_t keys_serial (const struct keys *k);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -7,9 +7,11 @@
 #include "mesh/balance.h"
 #include "mesh/directory.h"
 #include "mesh/egress.h"
+#include "mesh/fetches.h"
 #include "mesh/keys.h"
 #include "mesh/nodes.h"
 #include "mesh/owners.h"
+#include "mesh/pack.h"
 #include "mesh/router.h"
 #include "mesh/watcher.h"
 #include "settings/address.h"
@@ -44,11 +46,8 @@
 #define END_MARGIN_MS INT64_C (300)
 /* Callers stop using a node that is not ready after about this.  */
 #define STOP_QUIET_NS (2500 * NS_PER_MS)
-/* Pause between two fetches of the same document.  */
+/* Pause between two fetches of the configuration.  */
 #define FETCH_PAUSE_NS (100 * NS_PER_MS)
-/* How long a document is waited for from the own zone before it is fetched
-   from another one.  */
-#define FETCH_FAR_NS (400 * NS_PER_MS)
 /* Limits on callers before the first configuration.  */
 #define FIRST_LIMITS                                                          \
   {                                                                           \
@@ -85,8 +84,8 @@
   uv_timer_t count_timer;
   uv_signal_t term;
   uv_signal_t hup;
-  int64_t fetched_ns;
-  int64_t behind_ns;   /* since when a newer document of owners is known */
+  struct fetches *fetches;
+  int64_t fetched_ns; /* the configuration, last */
   int64_t stopping_ns; /* since when; 0: no */
   bool was_ready;
 };
@@ -286,8 +285,7 @@
       routes_release (r);
       return;
     }
-  r->text = g_strndup (text, length);
-  r->length = length;
+  r->packed = pack (text, length);
   log_event (EV_ROUTES_IN_FORCE,
              "version=%" PRIu64 " before=%" PRIu64 " routes=%u from=%s",
              r->version, old == NULL ? 0 : old->version, r->list->len, from);
@@ -328,16 +326,15 @@
   *revision = 0;
   if (topic == FRAME_CELL)
     return keys_document (m->keys, length, revision);
-  *length = r == NULL ? 0 : r->length;
-  return r == NULL ? NULL : r->text;
+  *length = r == NULL ? 0 : r->packed->len;
+  return r == NULL ? NULL : r->packed->str;
 }
 
 static void
-take_document (void *arg, const struct frame_node *node,
-               enum frame_topic topic, int64_t revision, const char *text,
-               size_t length)
+take_text (struct mesh *m, const struct frame_node *node,
+           enum frame_topic topic, int64_t revision, const char *text,
+           size_t length)
 {
-  struct mesh *m = arg;
   if (topic == FRAME_ROUTES)
     {
       take_routes (m, text, length, node->name);
@@ -347,8 +344,6 @@
   if (own)
     keys_on_document (m->keys, revision, text, length, clock_now_ns ());
   enum status s = owners_offer (m->owners, node->service, text, length);
-  if (s == STATUS_OK)
-    m->behind_ns = 0;
   if (s == STATUS_OK)
     log_event (EV_OWNERS_LEARNED, "service=%s serial=%u from=%s",
                node->service, owners_serial (m->owners, node->service),
@@ -358,17 +353,144 @@
                status_message ());
 }
 
-/* Whether to fetch a newer document of owners from NODE: one in the own zone
-   has it in a moment, and bytes between zones cost.  */
+static void
+take_document (void *arg, const struct frame_node *node,
+               enum frame_topic topic, int64_t revision, const char *packed,
+               size_t packed_length)
+{
+  struct mesh *m = arg;
+  GString *document = unpack (packed, packed_length);
+  if (document == NULL)
+    {
+      log_event (EV_DOCUMENT_REFUSED, "from=%s cause=\"%s\"", node->name,
+                 status_message ());
+      return;
+    }
+  take_text (m, node, topic, revision, document->str, document->len);
+  g_string_free (document, TRUE);
+}
+struct zone_look
+{
+  const struct mesh *m;
+  const char *service;
+  bool has_member; /* another node of the service is in the own zone */
+  bool has_earlier; /* and one of them is before this node by name */
+};
+
 static bool
-may_fetch_owners (struct mesh *m, const struct frame_node *node,
-                  int64_t now_ns)
+look_at_zone (void *arg, const struct node_view *view)
 {
-  if (strcmp (node->zone, m->settings->zone) == 0)
+  struct zone_look *look = arg;
+  const struct settings *s = look->m->settings;
+  if (strcmp (view->node->zone, s->zone) != 0
+      || strcmp (view->node->service, look->service) != 0)
     return true;
-  if (m->behind_ns == 0)
-    m->behind_ns = now_ns;
-  return now_ns - m->behind_ns > FETCH_FAR_NS;
+  look->has_member = true;
+  look->has_earlier |= strcmp (view->node->name, s->name) < 0;
+  return true;
+}
+
+/* Whether this node is the one of its zone that fetches the documents of
+   SERVICE from other zones.  */
+static bool
+is_first_of_zone (const struct mesh *m, const char *service)
+{
+  struct zone_look look = { .m = m, .service = service };
+  nodes_visit (m->nodes, look_at_zone, &look);
+  bool own = strcmp (service, m->settings->service) == 0;
+  return !look.has_member || (own && !look.has_earlier);
+}
+
+static void
+fetch_owners (struct mesh *m, const struct frame_node *node, uint32_t serial)
+{
+  struct fetch_case c = {
+    .service = node->service,
+    .have = owners_serial (m->owners, node->service),
+    .serial = serial,
+    .is_near = strcmp (node->zone, m->settings->zone) == 0,
+  };
+  if (serial <= c.have)
+    return;
+  c.is_first = c.is_near || is_first_of_zone (m, node->service);
+  if (fetches_ask (m->fetches, &c, clock_now_ns ()))
+    nodes_fetch (m->nodes, &node->address, FRAME_CELL);
+}
+
+static bool
+fetch_from_view (void *arg, const struct node_view *view)
+{
+  fetch_owners (arg, view->node, view->state->cell_serial);
+  return true;
+}
+
+/* The owner that NAME was believed to be is none: if NAME knows more, learn it
+   from there at once, whatever the zone.  */
+static void
+not_owner (void *arg, const char *name)
+{
+  struct mesh *m = arg;
+  const struct frame_state *state;
+  const struct frame_node *node = nodes_find (m->nodes, name, &state);
+  if (node == NULL)
+    return;
+  struct fetch_case c = {
+    .service = node->service,
+    .have = owners_serial (m->owners, node->service),
+    .serial = state->cell_serial,
+    .is_first = true,
+  };
+  if (fetches_ask (m->fetches, &c, clock_now_ns ()))
+    nodes_fetch (m->nodes, &node->address, FRAME_CELL);
+}
+
+struct holder_look
+{
+  const struct mesh *m;
+  const struct settings_address *from;
+  uint32_t serial;
+  struct settings_address best;
+  bool found;
+};
+
+/* FROM if nobody near has the document.  */
+static bool
+look_for_holder (void *arg, const struct node_view *view)
+{
+  struct holder_look *look = arg;
+  const struct frame_node *n = view->node;
+  bool is_from = n->address.port == look->from->port
+                 && strcmp (n->address.host, look->from->host) == 0;
+  bool is_near = strcmp (n->zone, look->m->settings->zone) == 0
+                 && strcmp (n->service, look->m->settings->service) == 0
+                 && view->state->cell_serial >= look->serial;
+  if (is_from || is_near)
+    {
+      look->best = n->address;
+      look->found = true;
+    }
+  return !is_near;
+}
+
+/* A member needs the document: it asks whatever the zone.  */
+static bool
+fetch_for_member (void *arg, const struct settings_address *from,
+                  uint32_t serial)
+{
+  struct mesh *m = arg;
+  struct holder_look look = { .m = m, .from = from, .serial = serial };
+  struct fetch_case c = {
+    .service = m->settings->service,
+    .have = keys_serial (m->keys),
+    .serial = serial,
+    .is_first = true,
+  };
+  nodes_visit (m->nodes, look_for_holder, &look);
+  if (!look.found)
+    return false;
+  if (fetches_ask (m->fetches, &c, clock_now_ns ()))
+    nodes_fetch (m->nodes, &look.best, FRAME_CELL);
+  return true;
 }
 
 static void
@@ -378,19 +500,13 @@
   struct mesh *m = arg;
   const struct routes *r = router_routes (m->router);
   int64_t now_ns = clock_now_ns ();
-  if (now_ns < m->fetched_ns + FETCH_PAUSE_NS)
-    return;
-  if (state->routes_version > (r == NULL ? 0 : r->version))
+  if (state->routes_version > (r == NULL ? 0 : r->version)
+      && now_ns >= m->fetched_ns + FETCH_PAUSE_NS)
     {
       m->fetched_ns = now_ns;
       nodes_fetch (m->nodes, &node->address, FRAME_ROUTES);
     }
-  if (state->cell_serial > owners_serial (m->owners, node->service)
-      && may_fetch_owners (m, node, now_ns))
-    {
-      m->fetched_ns = now_ns;
-      nodes_fetch (m->nodes, &node->address, FRAME_CELL);
-    }
+  fetch_owners (m, node, state->cell_serial);
 }
 
 static void
@@ -477,6 +593,7 @@
 {
   struct mesh *m = timer->data;
   choose_watch_wait (m);
+  nodes_visit (m->nodes, fetch_from_view, m);
   router_relax (m->router);
   struct target_load load = egress_read_load (m->egress, clock_now_ns ());
   uint32_t slots = load.slots > 0 ? load.slots : 1;
@@ -574,15 +691,24 @@
   };
   m->egress = egress_open (&m->loop, m->dialect, s, &egress_hooks);
   m->owners = owners_new ();
+  m->fetches = fetches_new ();
   m->nodes = nodes_open (&m->loop, &m->self, &nodes_hooks);
   m->worker = store_worker_start (m->dialect->open_store (s));
   if (m->nodes == NULL || m->worker == NULL)
     return STATUS_SYSTEM;
-  struct keys_parts keys_parts
-      = { &m->loop, m->dialect, s,         m->worker,
-          m->inbox, m->nodes,   m->owners, egress_client (m->egress) };
+  struct keys_parts keys_parts = { &m->loop,
+                                   m->dialect,
+                                   s,
+                                   m->worker,
+                                   m->inbox,
+                                   m->nodes,
+                                   m->owners,
+                                   egress_client (m->egress),
+                                   fetch_for_member,
+                                   m };
   struct router_parts router_parts
-      = { &m->loop, m->dialect, s, m->egress, m->nodes, m->owners };
+      = { &m->loop, m->dialect, s, m->egress, m->nodes, m->owners, not_owner,
+          m };
   m->keys = keys_open (&keys_parts);
   m->router = router_open (&router_parts);
   return m->keys == NULL ? STATUS_SYSTEM : STATUS_OK;
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -62,6 +62,7 @@
   struct link *link;
   GList in_list;
   char name[SETTINGS_NAME_BYTES];
+  char zone[SETTINGS_NAME_BYTES];
   GHashTable *jobs; /* struct inbound_job by number */
   bool told_node;
 };
@@ -290,6 +291,7 @@
   struct nodes *p = in->link->nodes;
   struct frame_state state;
   memcpy (in->name, node->name, sizeof in->name);
+  memcpy (in->zone, node->zone, sizeof in->zone);
   p->hooks.fill_state (p->hooks.arg, &state);
   link_send (in->link, frame_state (&p->self, &state));
   in->told_node = true;
@@ -671,15 +673,38 @@
     link_send (peer->link, frame_handover (h));
 }
 
-void
-nodes_tell (struct nodes *p)
+const struct frame_node *
+nodes_find (const struct nodes *p, const char *name,
+            const struct frame_state **state)
+{
+  const struct peer *peer = find_name (p, name);
+  if (peer == NULL)
+    return NULL;
+  *state = &peer->state;
+  return &peer->node;
+}
+
+static void
+tell (struct nodes *p, const char *zone)
 {
   struct frame_state state;
   p->hooks.fill_state (p->hooks.arg, &state);
   for (GList *l = p->inbounds.head; l != NULL; l = l->next)
     {
       struct inbound *in = l->data;
-      if (in->told_node)
+      if (in->told_node && (zone == NULL || strcmp (zone, in->zone) == 0))
         link_send (in->link, frame_state (NULL, &state));
     }
 }
+
+void
+nodes_tell (struct nodes *p)
+{
+  tell (p, NULL);
+}
+
+void
+nodes_tell_zone (struct nodes *p)
+{
+  tell (p, p->self.zone);
+}
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -34,7 +34,7 @@
   void *(*run_request) (void *arg, struct attempt_request *request,
                         attempt_done *done, void *done_arg);
   void (*stop_request) (void *arg, void *handle);
-  /* A document that another node may fetch; NULL when there is none.  */
+  /* A packed document that another node may fetch; NULL: there is none.  */
   const char *(*document) (void *arg, enum frame_topic topic, size_t *length,
                            int64_t *revision);
   /* A document came from NODE.  */
@@ -76,7 +76,12 @@
 void nodes_hand_over (struct nodes *p, const char *name,
                       const struct frame_handover *h);
 
-/* Tell all other nodes this node's state now.  */
+/* The node NAME and its state, or NULL when it does not answer.  */
+const struct frame_node *nodes_find (const struct nodes *p, const char *name,
+                                     const struct frame_state **state);
+
+/* Tell all other nodes, or those of the own zone, this node's state now.  */
 void nodes_tell (struct nodes *p);
+void nodes_tell_zone (struct nodes *p);
 
 #endif
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -331,6 +331,8 @@
                 || r->reason == REASON_DRAINING;
   double share
       = r->reason == REASON_MOVING ? MOVE_WAIT_SHARE : OWNER_WAIT_SHARE;
+  if (keyed && r->reason == REASON_NOT_OWNER)
+    p->router->parts.not_owner (p->router->parts.arg, p->at);
   if (keyed && moving && may_wait (p, share, now_ns))
     {
       look_again (p, LOOK_AGAIN_MS * NS_PER_MS);
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -22,6 +22,10 @@
   struct egress *egress;
   struct nodes *nodes;
   struct owners *owners;
+  /* The node NAME said that it does not own a key which, by the document of
+     owners, it does.  */
+  void (*not_owner) (void *arg, const char *name);
+  void *arg;
 };
 
 struct router *router_open (const struct router_parts *parts);
--- a/src/mesh/routes.c
+++ b/src/mesh/routes.c
@@ -37,7 +37,8 @@
     return;
   g_array_free (r->services, TRUE);
   g_ptr_array_free (r->list, TRUE);
-  g_free (r->text);
+  if (r->packed != NULL)
+    g_string_free (r->packed, TRUE);
   g_free (r);
 }
 
--- a/src/mesh/routes.h
+++ b/src/mesh/routes.h
@@ -53,8 +53,7 @@
   GArray *services; /* struct service_policy */
   GPtrArray *list;  /* struct route * */
   struct http_limits limits;
-  char *text; /* as it was read */
-  size_t length;
+  GString *packed; /* as it was read, for other nodes; NULL: not known */
   unsigned references;
 };
 
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -17,7 +17,9 @@
 #include "lib/script.h"
 #include "limit/lineup.h"
 #include "mesh/balance.h"
+#include "mesh/fetches.h"
 #include "mesh/holdings.h"
+#include "mesh/pack.h"
 #include "mesh/routes.h"
 #include "mesh/target_state.h"
 
@@ -355,6 +357,76 @@
   holdings_free (h);
 }
 
+/* Fetches of documents.  */
+
+static void
+fetches_command (void *context, int count, char **words, FILE *out)
+{
+  struct fetches **f = context;
+  if (is (words, "new"))
+    {
+      fetches_free (*f);
+      *f = fetches_new ();
+      return;
+    }
+  struct fetch_case c = {
+    .service = words[1],
+    .have = (uint32_t)script_number (count, words, "have", 0),
+    .serial = (uint32_t)script_number (count, words, "serial", 0),
+    .is_near = script_number (count, words, "near", 0) != 0,
+    .is_first = script_number (count, words, "first", 0) != 0,
+  };
+  bool ask = fetches_ask (*f, &c, time_of (count, words, "at", 0));
+  fprintf (out, "%s\n", ask ? "ask" : "wait");
+}
+
+static void
+fetches_follow_their_script (void **state)
+{
+  struct fetches *f = fetches_new ();
+  (void)state;
+  assert_int_equal (script_run ("test/mesh/fetches.txt", fetches_command, &f),
+                    0);
+  fetches_free (f);
+}
+
+/* Packed documents.  */
+
+static void
+a_packed_document_comes_back (void **state)
+{
+  GString *text = g_string_new (NULL);
+  (void)state;
+  for (int i = 0; i < 500; i++)
+    g_string_append_printf (text, "{\"owner\":%d,\"epoch\":7}", i % 9);
+  GString *packed = pack (text->str, text->len);
+  assert_true (packed->len < text->len / 4);
+  GString *back = unpack (packed->str, packed->len);
+  assert_non_null (back);
+  assert_true (g_string_equal (text, back));
+  g_string_free (back, TRUE);
+  g_string_free (packed, TRUE);
+  g_string_free (text, TRUE);
+}
+
+static void
+what_is_no_packed_document_is_refused (void **state)
+{
+  (void)state;
+  GString *packed = pack ("some words, some words", 22);
+  for (size_t length = 0; length < packed->len; length++)
+    assert_null (unpack (packed->str, length));
+  /* A length that lies, above and below.  */
+  packed->str[3]++;
+  assert_null (unpack (packed->str, packed->len));
+  packed->str[3] -= 2;
+  assert_null (unpack (packed->str, packed->len));
+  packed->str[0] = '\x7f';
+  assert_null (unpack (packed->str, packed->len));
+  assert_null (unpack ("\0\0\0\3abc", 7));
+  g_string_free (packed, TRUE);
+}
+
 /* Routes.  */
 
 static struct route *
@@ -407,6 +479,9 @@
     cmocka_unit_test (balance_follows_its_script),
     cmocka_unit_test (reports_follow_their_script),
     cmocka_unit_test (holdings_follow_their_script),
+    cmocka_unit_test (fetches_follow_their_script),
+    cmocka_unit_test (a_packed_document_comes_back),
+    cmocka_unit_test (what_is_no_packed_document_is_refused),
     cmocka_unit_test (the_longest_prefix_of_the_host_wins),
     cmocka_unit_test (each_part_gets_its_weight_in_every_run),
   };
