Look through the keys for due grants once a pass, four orders at a time

Cause: each datagram and each answer of the target looked through all 65,536 keys for grants that are due, and all due ones were sent at once, each on a connection of its own.

Change: a look goes on where the last one ended, and begins again 50 ms later or when ownership changes; four grants or releases are under way at most.

--- a/src/mesh/grants.c
+++ b/src/mesh/grants.c
@@ -23,6 +23,12 @@
 #define RELEASE_TIMEOUT_MS 2000
 /* A handover that was not used by then is of no use.  */
 #define HANDOVER_KEEP_NS (10 * NS_PER_S)
+/* Orders under way at once: each takes a connection to the target.  */
+#define ORDERS_MAX 4
+/* Pause between two looks through all keys for grants that are due: a
+   hundredth of a grant, which is renewed when a fifth is used up.  */
+#define LOOK_PAUSE_NS (50 * NS_PER_MS)
+
 struct token
 {
   struct frame_handover handover;
@@ -38,6 +44,9 @@
   char target_id[TARGET_ID_BYTES];
   bool target_lost;
   int64_t again_ns; /* no grant before */
+  unsigned orders;  /* under way */
+  uint32_t looked;  /* keys below were looked at, in the present look */
+  int64_t look_ns;  /* no look before */
 };
 
 /* A grant or release under way.  */
@@ -71,6 +80,7 @@
   struct order *o = arg;
   struct grants *g = o->grants;
   int64_t now_ns = clock_now_ns ();
+  g->orders--;
   if (reply->result == HTTP_ANSWERED && reply->status == 200)
     {
       /* Renewals are counted only.  */
@@ -101,6 +111,7 @@
   struct order *o = arg;
   struct grants *g = o->grants;
   bool answered = reply->result == HTTP_ANSWERED && reply->status == 200;
+  g->orders--;
   holdings_released (g->holdings, &o->run, answered);
   const char *name = g->parts.dialect->headers[HEADER_HANDOVER];
   const char *value = answered ? headers_find (reply->headers, name) : NULL;
@@ -137,6 +148,7 @@
     .timeout_ms = hold_ns > 0 ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS,
   };
   holdings_sent (g->holdings, run);
+  g->orders++;
   counter_add (hold_ns > 0 ? COUNTER_grants_total : COUNTER_releases_total, 1);
   http_call (g->parts.target,
              hold_ns > 0 ? d->write_grant (&order) : d->write_release (&order),
@@ -197,12 +209,17 @@
   int64_t hold_ns = hold_now_ns (g, lease_ns, now_ns);
   drop_old_tokens (g, now_ns);
   if (hold_ns == 0 || g->target_lost || now_ns < g->again_ns
-      || holdings_token (g->holdings) == 0)
+      || now_ns < g->look_ns || holdings_token (g->holdings) == 0)
     return;
-  uint32_t from = 0;
-  while (holdings_due (g->holdings, from, now_ns,
-                       (int64_t)((double)hold_ns * GRANT_FRESH), &run))
+  int64_t least_ns = (int64_t)((double)hold_ns * GRANT_FRESH);
+  while (g->orders < ORDERS_MAX)
     {
+      if (!holdings_due (g->holdings, g->looked, now_ns, least_ns, &run))
+        {
+          g->looked = 0;
+          g->look_ns = now_ns + LOOK_PAUSE_NS;
+          return;
+        }
       char handover[sizeof ((struct frame_handover *)0)->token];
       struct token *t = cut_at_token (g, &run, now_ns);
       if (t != NULL)
@@ -210,10 +227,17 @@
       send_order (g, &run, hold_ns, t == NULL ? NULL : handover, now_ns);
       if (t != NULL)
         t->until_ns = 0;
-      from = run.to + 1;
+      g->looked = run.to + 1;
     }
 }
 
+void
+grants_look_again (struct grants *g)
+{
+  g->looked = 0;
+  g->look_ns = 0;
+}
+
 void
 grants_release_closed (struct grants *g, int64_t now_ns)
 {
--- a/src/mesh/grants.h
+++ b/src/mesh/grants.h
@@ -37,6 +37,9 @@
 /* Grant what is due, for no longer than LEASE_NS.  */
 void grants_renew (struct grants *g, int64_t lease_ns, int64_t now_ns);
 
+/* Something changed that may make a grant due at once.  */
+void grants_look_again (struct grants *g);
+
 /* Release the closed keys that the target may hold.  */
 void grants_release_closed (struct grants *g, int64_t now_ns);
 
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -244,6 +244,7 @@
       if (number < cell->key_space)
         take_key (k, number, self != 0 && pin->owner == self, pin->epoch);
     }
+  grants_look_again (k->grants);
 }
 
 static void
@@ -324,6 +325,7 @@
   k->move = 0;
   for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
     holdings_close (k->holdings, i, false);
+  grants_look_again (k->grants);
 }
 
 static void
@@ -467,6 +469,7 @@
 {
   k->target = *target;
   grants_set_target (k->grants, target->id);
+  grants_look_again (k->grants);
   if (new_run && k->agent != NULL)
     end_agent (k);
   if (new_run)
@@ -515,6 +518,7 @@
 keys_refused (struct keys *k, uint32_t key)
 {
   holdings_lost (k->holdings, key);
+  grants_look_again (k->grants);
   work (k);
 }
 
@@ -613,6 +617,7 @@
   grants_keep_handover (k->grants, h);
   for (uint32_t i = h->from; i <= h->to; i++)
     holdings_wait (k->holdings, i, 0);
+  grants_look_again (k->grants);
   work (k);
 }
 
