Give neighbouring slots of numeric keys to different members

Pattern: a busy range of neighbouring keys.

Change: slots of a numeric key space are given away in an order that is spread evenly, and neighbours go to different members; runs of hashed slots stay.

--- a/src/own/place.c
+++ b/src/own/place.c
@@ -137,24 +137,129 @@
   return from;
 }
 
+/* Keys that are numbers: busy ones are close to each other, so that slots of
+   neighbours go to different members.  Slots of hashed keys are all alike, and
+   long runs keep the document short.  */
+static bool
+is_scattered (const struct cell *cell)
+{
+  return cell->key_space != 0;
+}
+
+static uint32_t
+reverse_bits (uint32_t value, uint32_t bits)
+{
+  uint32_t reversed = 0;
+  for (uint32_t i = 0; i < bits; i++)
+    reversed |= (value >> i & 1) << (bits - 1 - i);
+  return reversed;
+}
+
+/* The order in which slots are given away: for numeric keys any run of it is
+   spread evenly, so that what is given and what is kept alternate.  */
+static void
+fill_order (const struct cell *cell, uint32_t order[CELL_SLOTS_MAX])
+{
+  uint32_t bits = 0;
+  uint32_t count = 0;
+  while (is_scattered (cell) && 1U << bits < cell->slot_count)
+    bits++;
+  for (uint32_t i = 0; count < cell->slot_count; i++)
+    {
+      uint32_t slot = is_scattered (cell) ? reverse_bits (i, bits) : i;
+      if (slot < cell->slot_count)
+        order[count++] = slot;
+    }
+}
+
+static uint32_t
+owner_beside (const struct cell *cell, const uint32_t *owners, uint32_t slot,
+              int side)
+{
+  if ((slot == 0 && side < 0) || (slot + 1 == cell->slot_count && side > 0))
+    return 0;
+  return owners[slot + (uint32_t)side];
+}
+
+/* The member whose quota SLOT is taken from, so that its neighbours have other
+   OWNERS where that can be; then the one that gets most.  */
+static member_id
+take_apart (const struct cell *cell, const uint32_t *owners, uint32_t slot,
+            uint32_t quota[CELL_MEMBERS_MAX])
+{
+  member_id best = MEMBER_NONE;
+  int best_near = 0;
+  for (uint32_t i = 0; i < cell->member_count; i++)
+    {
+      uint32_t owner = cell->members[i].incarnation;
+      int near = (owner_beside (cell, owners, slot, -1) == owner)
+                 + (owner_beside (cell, owners, slot, 1) == owner);
+      if (quota[i] == 0)
+        continue;
+      if (best == MEMBER_NONE || near < best_near
+          || (near == best_near && quota[i] > quota[best]))
+        {
+          best = i;
+          best_near = near;
+        }
+    }
+  quota[best]--;
+  return best;
+}
+
+static void
+copy_owners (const struct cell *cell, uint32_t owners[CELL_SLOTS_MAX])
+{
+  for (uint32_t i = 0; i < cell->slot_count; i++)
+    owners[i] = cell->slots[i].owner;
+}
+
+/* Give neighbours to different members: how many slots each one gets
+   stays.  */
+static void
+scatter (const struct cell *cell, struct place_move *moves, uint32_t count)
+{
+  uint32_t owners[CELL_SLOTS_MAX];
+  uint32_t quota[CELL_MEMBERS_MAX] = { 0 };
+  copy_owners (cell, owners);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      quota[cell_find (cell, moves[i].to)]++;
+      owners[moves[i].slot] = 0;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    {
+      member_id id = take_apart (cell, owners, moves[i].slot, quota);
+      moves[i].to = cell->members[id].incarnation;
+      owners[moves[i].slot] = moves[i].to;
+    }
+}
+
 uint32_t
 place_spread (struct cell *cell, const struct place_loads *loads,
               enum settings_policy policy)
 {
   struct shares shares;
   uint32_t quota[CELL_MEMBERS_MAX];
+  uint32_t owners[CELL_SLOTS_MAX];
   uint32_t count = cell_slots_owned (cell, 0);
   member_id id = 0;
+  uint32_t order[CELL_SLOTS_MAX];
+  fill_order (cell, order);
+  copy_owners (cell, owners);
   fill_shares (cell, loads, policy, &shares);
   if (!share_out (cell, &shares, count, quota))
     return 0;
-  for (uint32_t s = 0; s < cell->slot_count; s++)
+  for (uint32_t i = 0; i < cell->slot_count; i++)
     {
-      if (cell->slots[s].owner != 0)
+      struct cell_slot *slot = &cell->slots[order[i]];
+      if (slot->owner != 0)
         continue;
-      id = take_quota (quota, id);
-      cell->slots[s].owner = cell->members[id].incarnation;
-      cell->slots[s].epoch = cell->serial;
+      id = is_scattered (cell) ? take_apart (cell, owners, order[i], quota)
+                               : take_quota (quota, id);
+      owners[order[i]] = cell->members[id].incarnation;
+      slot->owner = cell->members[id].incarnation;
+      slot->epoch = cell->serial;
     }
   return count + give_pins (cell);
 }
@@ -184,10 +289,12 @@
              || s->owned[to] < to_even - to_even / QUARTER);
 }
 
+/* The first index in ORDER from FROM on of a slot of OWNER.  */
 static uint32_t
-next_owned (const struct cell *cell, uint32_t owner, uint32_t from)
+next_owned (const struct cell *cell, const uint32_t *order, uint32_t owner,
+            uint32_t from)
 {
-  while (from < cell->slot_count && cell->slots[from].owner != owner)
+  while (from < cell->slot_count && cell->slots[order[from]].owner != owner)
     from++;
   return from;
 }
@@ -201,16 +308,18 @@
   uint32_t count = 0;
   uint32_t slot = 0;
   uint32_t owner = cell->members[from].incarnation;
+  uint32_t order[CELL_SLOTS_MAX];
+  fill_order (cell, order);
   fill_shares (cell, NULL, policy, &shares);
   while (count < max)
     {
       member_id to = emptiest (cell, &shares);
-      slot = next_owned (cell, owner, slot);
+      slot = next_owned (cell, order, owner, slot);
       if (slot == cell->slot_count || to == from
           || !is_worth_moving (cell, &shares, from, to, policy))
         break;
-      moves[count++]
-          = (struct place_move){ slot++, cell->members[to].incarnation };
+      moves[count++] = (struct place_move){ order[slot++],
+                                            cell->members[to].incarnation };
       shares.owned[from]--;
       shares.owned[to]++;
     }
@@ -304,6 +413,8 @@
   int64_t owned = cell_slots_owned (cell, giver->incarnation);
   uint32_t count = 0;
   uint32_t slot = 0;
+  uint32_t order[CELL_SLOTS_MAX];
+  fill_order (cell, order);
   for (uint32_t i = 0; i < cell->member_count; i++)
     load[i] = (int64_t)loads->load[i] * LOAD_SCALE;
   int64_t heat = owned == 0 ? 0 : load[from] / owned;
@@ -311,15 +422,15 @@
   while (count < max)
     {
       member_id to = least_loaded (cell, load, room);
-      slot = next_owned (cell, giver->incarnation, slot);
+      slot = next_owned (cell, order, giver->incarnation, slot);
       if (slot == cell->slot_count || to == from || to == MEMBER_NONE)
         break;
       int64_t gain = heat * giver->weight / cell->members[to].weight;
       int64_t gap = load[from] - load[to];
       if (gap <= (int64_t)LOAD_GAP * LOAD_SCALE || gap <= heat + gain)
         break;
-      moves[count++]
-          = (struct place_move){ slot++, cell->members[to].incarnation };
+      moves[count++] = (struct place_move){ order[slot++],
+                                            cell->members[to].incarnation };
       load[from] -= heat;
       load[to] += gain;
       room[to] -= gain;
@@ -355,7 +466,10 @@
     count = rebalance_by_load (cell, from, loads, moves, max);
   else
     count = rebalance_by_count (cell, from, policy, moves, max);
-  gather (moves, count);
+  if (is_scattered (cell))
+    scatter (cell, moves, count);
+  else
+    gather (moves, count);
   return count;
 }
 
@@ -369,6 +483,8 @@
   uint32_t count = owned < max ? owned : max;
   uint32_t slot = 0;
   member_id id = 0;
+  uint32_t order[CELL_SLOTS_MAX];
+  fill_order (cell, order);
   fill_shares (cell, NULL, POLICY_UNAVAILABLE_TIME_FIRST, &shares);
   member_id from = cell_find (cell, owner);
   if (from != MEMBER_NONE)
@@ -377,9 +493,12 @@
     return 0;
   for (uint32_t i = 0; i < count; i++)
     {
-      slot = next_owned (cell, owner, slot);
+      slot = next_owned (cell, order, owner, slot);
       id = take_quota (quota, id);
-      moves[i] = (struct place_move){ slot++, cell->members[id].incarnation };
+      moves[i] = (struct place_move){ order[slot++],
+                                      cell->members[id].incarnation };
     }
+  if (is_scattered (cell))
+    scatter (cell, moves, count);
   return count;
 }
--- a/test/unit/test_own_script.c
+++ b/test/unit/test_own_script.c
@@ -264,6 +264,28 @@
   s->cell->serial = number (s, 1);
 }
 
+static void
+do_key_space (struct script *s)
+{
+  s->cell->key_space = number (s, 1);
+}
+
+/* Whether no run of neighbouring slots with one owner is longer.  */
+static void
+do_at_most (struct script *s)
+{
+  uint32_t longest = 0;
+  uint32_t run = 0;
+  for (uint32_t i = 0; i < s->cell->slot_count; i++)
+    {
+      bool same
+          = i > 0 && s->cell->slots[i].owner == s->cell->slots[i - 1].owner;
+      run = same ? run + 1 : 1;
+      longest = run > longest ? run : longest;
+    }
+  say (s, longest <= number (s, 1));
+}
+
 static void
 do_own (struct script *s)
 {
@@ -478,7 +500,8 @@
   { "stood-in", do_stood_in }, { "unneeded", do_unneeded },
   { "stand-in", do_stand_in }, { "stood-in", do_stood_in },
   { "unneeded", do_unneeded }, { "cell", do_cell },
-  { "member", do_member },     { "serial", do_serial },
+  { "member", do_member },     { "key-space", do_key_space },
+  { "at-most", do_at_most },   { "serial", do_serial },
   { "own", do_own },           { "load", do_load },
   { "show", do_show },         { "remove", do_remove },
   { "guards", do_guards },     { "guardian", do_guardian },
