--- a/src/base/log.c
+++ b/src/base/log.c
@@ -113,14 +113,18 @@
     count_dropped ();
 }
 
+/* At most once a second.  */
 static void
 tell_dropped (void)
 {
-  uint32_t lines = ck_pr_fas_32 (&dropped, 0);
+  static uint32_t told_second;
+  uint32_t second = (uint32_t)(clock_now_ns () / NS_PER_S);
   char line[LINE_BYTES];
   char stamp[STAMP_BYTES];
-  if (lines == 0)
+  if (ck_pr_load_32 (&dropped) == 0
+      || ck_pr_fas_32 (&told_second, second) == second)
     return;
+  uint32_t lines = ck_pr_fas_32 (&dropped, 0);
   format_stamp (stamp);
   int length = snprintf (line, sizeof line,
                          "%s warning %d LINES_DROPPED text=\"log lines were "
--- a/src/main.c
+++ b/src/main.c
@@ -8,6 +8,7 @@
 #include "route/node.h"
 #include "settings/catalogue.h"
 #include "settings/check.h"
+#include "trace/trace.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -63,6 +64,7 @@
   { "load", load_main, "drive a service and print rates and outcomes" },
   { "mesh", mesh_main, "run the process beside a target of a mesh" },
   { "report", report_main, "report how fast error budgets burn" },
+  { "trace", trace_main, "tell a request's way from logs" },
   { "version", version_main, "print the version" },
 };
 
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -498,10 +498,11 @@
 /* Arrival.  */
 
 static void
-refuse (struct http_exchange *x, int status, const char *why)
+refuse (struct http_exchange *x, const char *id, int status, const char *why)
 {
-  log_event (EV_REQUEST_REFUSED, "status=%d why=\"%s\" target=%.100s", status,
-             why, x->target->str);
+  log_event (EV_REQUEST_REFUSED,
+             "request=%.64s status=%d why=\"%s\" target=%.100s",
+             id == NULL ? "-" : id, status, why, x->target->str);
   counter_add (COUNTER_not_run_total, 1);
   GString *head = g_string_new (NULL);
   if (status == UNAVAILABLE)
@@ -610,23 +611,23 @@
   counter_add (COUNTER_requests_total, 1);
   if (id == NULL || strlen (id) >= ATTEMPT_ID_BYTES || host == NULL)
     {
-      refuse (x, 400, "the request has no id or no host");
+      refuse (x, id, 400, "the request has no id or no host");
       return;
     }
   if (r->routes == NULL)
     {
-      refuse (x, 503, "no configuration is known yet");
+      refuse (x, id, 503, "no configuration is known yet");
       return;
     }
   if (r->closed)
     {
-      refuse (x, 503, "the node stops");
+      refuse (x, id, 503, "the node stops");
       return;
     }
   struct route *route = routes_find (r->routes, host, x->target->str);
   if (route == NULL)
     {
-      refuse (x, 404, "no route");
+      refuse (x, id, 404, "no route");
       return;
     }
   struct pending *p = pending_new (r, x, route, id);
@@ -637,7 +638,7 @@
         {
           x->on_gone = NULL;
           pending_free (p);
-          refuse (x, 400, "the request has no key");
+          refuse (x, id, 400, "the request has no key");
           return;
         }
       p->request.key = (int32_t)key;
