Make fewer store calls: choose the second guardian on joining, wait longer

A member that joined wrote twice, once as active and again for its second guardian. 86 nodes each opened a watch every 8 s.

Change: the second guardian is chosen in the swap that makes the member active; with more than 24 nodes the far watches last longer, 28 s at most.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -36,6 +36,10 @@
 #define CLOSE_WATCHERS 2
 #define CLOSE_WAIT_MS 1000
 #define FAR_WAIT_MS 8000
+/* With more nodes than this the wait grows in proportion, to the most that the
+   store waits: one of so many hears of a change at once.  */
+#define FAR_NODES 24
+#define FAR_WAIT_MOST_MS 28000
 /* Time between two lines that sum what single lines do not tell.  */
 #define COUNT_MS 10000
 /* Room for the counters of a line, below the length of a log line.  */
@@ -570,12 +574,14 @@
 {
   const char *name;
   unsigned count;
+  unsigned nodes;
 };
 
 static bool
 count_before (void *arg, const struct node_view *view)
 {
   struct before_me *b = arg;
+  b->nodes++;
   b->count
       += view->state->follows_store && strcmp (view->node->name, b->name) < 0;
   return true;
@@ -584,10 +590,13 @@
 static void
 choose_watch_wait (struct mesh *m)
 {
-  struct before_me b = { m->settings->name, 0 };
+  struct before_me b = { m->settings->name, 0, 1 };
   nodes_visit (m->nodes, count_before, &b);
+  unsigned far_ms
+      = b.nodes <= FAR_NODES ? FAR_WAIT_MS : FAR_WAIT_MS * b.nodes / FAR_NODES;
   m->dialect->set_watch_wait (
-      m->watched, b.count < CLOSE_WATCHERS ? CLOSE_WAIT_MS : FAR_WAIT_MS);
+      m->watched, b.count < CLOSE_WATCHERS ? CLOSE_WAIT_MS
+                                           : MIN (far_ms, FAR_WAIT_MOST_MS));
 }
 
 static void
--- a/src/own/agent_plan.c
+++ b/src/own/agent_plan.c
@@ -324,7 +324,11 @@
 {
   bool changed = false;
   if (activate_due (a, now_ns))
-    changed |= cell_activate (next, a->self) == STATUS_OK;
+    {
+      changed |= cell_activate (next, a->self) == STATUS_OK;
+      if (agent_me (a)->second == 0)
+        changed |= plan_second (a, next);
+    }
   if (a->leave && agent_me (a)->state != MEMBER_LEAVING)
     changed |= cell_set_leaving (next, a->self) == STATUS_OK;
   /* Removing its own guardian leaves a member without one.  */
