Serve no key whose release is under way

A move that is given up opens its slots again while the release that it sent is still unanswered; the target begins no work on them from its arrival, while the node believed the earlier grant.

Change: a key is not held from the moment its release is sent. The script fails on the code before.

--- a/src/mesh/grants.c
+++ b/src/mesh/grants.c
@@ -147,7 +147,10 @@
     .arg = o,
     .timeout_ms = hold_ns > 0 ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS,
   };
-  holdings_sent (g->holdings, run);
+  if (hold_ns > 0)
+    holdings_sent (g->holdings, run);
+  else
+    holdings_releasing (g->holdings, run);
   g->orders++;
   counter_add (hold_ns > 0 ? COUNTER_grants_total : COUNTER_releases_total, 1);
   http_call (g->parts.target,
--- a/src/mesh/holdings.c
+++ b/src/mesh/holdings.c
@@ -143,6 +143,16 @@
     h->keys[i].calling = true;
 }
 
+void
+holdings_releasing (struct holdings *h, const struct key_run *run)
+{
+  for (uint32_t i = run->from; i <= run->to; i++)
+    {
+      h->keys[i].calling = true;
+      h->keys[i].surely_ns = 0;
+    }
+}
+
 static int64_t
 later (int64_t a_ns, int64_t b_ns)
 {
--- a/src/mesh/holdings.h
+++ b/src/mesh/holdings.h
@@ -61,9 +61,13 @@
 bool holdings_to_release (const struct holdings *h, uint32_t from,
                           int64_t now_ns, struct key_run *run);
 
-/* A call for RUN was sent: a grant for HOLD_NS, or a release with 0.  */
+/* A grant of RUN is sent.  */
 void holdings_sent (struct holdings *h, const struct key_run *run);
 
+/* A release of RUN is sent: the target begins no work on its keys any more,
+   also when they are opened again before it answers.  */
+void holdings_releasing (struct holdings *h, const struct key_run *run);
+
 /* That grant was answered: it was sent at SENT_NS.  */
 void holdings_granted (struct holdings *h, const struct key_run *run,
                        int64_t sent_ns, int64_t hold_ns, int64_t now_ns);
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -306,6 +306,8 @@
       holdings_lost (h, k);
   if (is (words, "sent"))
     holdings_sent (h, &run);
+  else if (is (words, "releasing"))
+    holdings_releasing (h, &run);
   else if (is (words, "granted"))
     holdings_granted (h, &run, time_of (count, words, "sent", 0), hold_ns,
                       now_ns);
