Let test runs side by side take different ports

Cause: scripts and unit tests listened on ports from 20000 on; a second run on the machine failed with Address already in use unless a base was set by hand.

Shown: two runs of all unit tests and two scripts side by side passed.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Build, test, lint and bench; every result goes below $(B).
 
+SHELL = bash
 B ?= build
 CC ?= gcc
 CSTD = -std=gnu11
@@ -48,7 +49,8 @@
 tests: all $(UNIT_BINS)
 
 check-unit: $(UNIT_BINS)
-	@set -e; for t in $(UNIT_BINS); do echo "== $$t"; $$t; done
+	@. test/lib/ports.sh; set -e; \
+	for t in $(UNIT_BINS); do echo "== $$t"; $$t; done
 
 check-scripts: all
 	@bash test/script/run.sh $(B)
--- a/test/lib/cluster.sh
+++ b/test/lib/cluster.sh
@@ -16,10 +16,12 @@
 CLUSTER_SERVICE=${CLUSTER_SERVICE:-cell-config}
 declare -A CLUSTER_PID
 
+. "$(dirname "${BASH_SOURCE[0]}")/ports.sh"
+
 cluster_open ()
 {
   CLUSTER_BUILD=$1
-  CLUSTER_BASE=${CB_PORT_BASE:-20000}
+  CLUSTER_BASE=$CB_PORT_BASE
   CLUSTER_DIR=$(mktemp -d "${TMPDIR:-/tmp}/crocusbend.XXXXXX")
   trap cluster_close EXIT
   trap 'exit 130' INT
--- a/test/script/run.sh
+++ b/test/script/run.sh
@@ -5,6 +5,7 @@
 set -u
 build=$1
 here=$(dirname "$0")
+. "$here/../lib/ports.sh"
 passed=0
 failed=0
 work=$(mktemp -d)
--- a/test/script/standin.sh
+++ b/test/script/standin.sh
@@ -1,6 +1,7 @@
 # Functions for scripted tests that use the stand-ins.
 # shellcheck shell=bash
-base=${CB_PORT_BASE:-20000}
+. "$(dirname "${BASH_SOURCE[0]}")/../lib/ports.sh"
+base=$CB_PORT_BASE
 work=$(mktemp -d)
 pids=()
 
