Let one member of a zone tell the others of a new document

Change: who writes a document tells all nodes; in each zone the first member by name tells the zone when it has it.

--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -265,11 +265,7 @@
   if (view->cell->key_space == s->key_space)
     take_holdings (k, view->cell, view->self, clock_now_ns ());
   grants_pass_handovers (k->grants, pass_handover, k);
-  /* Each zone hears of it by itself, from its own members.  */
-  if (k->own_change)
-    nodes_tell (k->parts.nodes);
-  else
-    nodes_tell_zone (k->parts.nodes);
+  k->parts.published (k->parts.arg, k->own_change);
 }
 
 static void
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -33,6 +33,8 @@
      False when no node that has it answers.  */
   bool (*fetch) (void *arg, const struct settings_address *from,
                  uint32_t serial);
+  /* Another document is in force; OWN_CHANGE when this node wrote it.  */
+  void (*published) (void *arg, bool own_change);
   void *arg;
 };
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -450,6 +450,18 @@
     nodes_fetch (m->nodes, &node->address, FRAME_CELL);
 }
 
+/* Who writes a document tells all; in each zone one member tells the
+   others.  */
+static void
+tell_document (void *arg, bool own_change)
+{
+  struct mesh *m = arg;
+  if (own_change)
+    nodes_tell (m->nodes);
+  else if (is_first_of_zone (m, m->settings->service))
+    nodes_tell_zone (m->nodes);
+}
+
 struct holder_look
 {
   const struct mesh *m;
@@ -707,10 +719,11 @@
   m->worker = store_worker_start (m->dialect->open_store (s));
   if (m->nodes == NULL || m->worker == NULL)
     return STATUS_SYSTEM;
-  struct keys_parts keys_parts
-      = { &m->loop,         m->dialect, s,         m->worker,
-          m->inbox,         m->nodes,   m->owners, egress_client (m->egress),
-          fetch_for_member, m };
+  struct keys_parts keys_parts = {
+    &m->loop,         m->dialect,    s,         m->worker,
+    m->inbox,         m->nodes,      m->owners, egress_client (m->egress),
+    fetch_for_member, tell_document, m
+  };
   struct router_parts router_parts = { &m->loop,  m->dialect, s,
                                        m->egress, m->nodes,   m->owners,
                                        not_owner, m };
