Read HOST:PORT in one place, and lint the changes

Change: settings_address_read, ATTEMPT_ANSWER_SLACK_MS; arrays that the analyser takes for unset are cleared.

--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -25,7 +25,8 @@
 char *counter_export (void);
 
 /* The counters that grew since the last call, as " name=growth ..." into TEXT
-   of ROOM bytes; what has no room is told by the next call.  For one thread.  */
+   of ROOM bytes; what has no room is told by the next call.  For one thread.
+ */
 void counter_growth (char *text, size_t room);
 
 #endif
--- a/src/mesh/attempt.h
+++ b/src/mesh/attempt.h
@@ -14,7 +14,10 @@
 
 enum
 {
-  ATTEMPT_ID_BYTES = 80
+  ATTEMPT_ID_BYTES = 80,
+  /* The target ends what it runs at its deadline: its answer may come that
+     much later, three round trips within a region and a pause of 100 ms.  */
+  ATTEMPT_ANSWER_SLACK_MS = 150
 };
 
 struct attempt_request
--- a/src/mesh/directory.c
+++ b/src/mesh/directory.c
@@ -95,18 +95,12 @@
 learn_text (struct directory *d, const char *text)
 {
   struct settings_address address;
-  const char *colon = strrchr (text, ':');
-  long port = colon == NULL ? 0 : strtol (colon + 1, NULL, 10);
-  if (colon == NULL || port < 1 || port > UINT16_MAX
-      || colon - text >= SETTINGS_HOST_BYTES)
+  if (settings_address_read (text, &address) != ADDRESS_GOOD)
     {
       log_event (EV_PEER_BAD_MESSAGE, "cause=\"malformed entry\" text=%.60s",
                  text);
       return;
     }
-  snprintf (address.host, sizeof address.host, "%.*s", (int)(colon - text),
-            text);
-  address.port = (uint16_t)port;
   nodes_learn (d->parts.nodes, &address);
 }
 
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -9,9 +9,6 @@
 #include <math.h>
 #include <string.h>
 
-/* The target ends what it runs at its deadline: its answer may come that much
-   later.  */
-#define ANSWER_SLACK_MS 150
 /* Calls beside requests (grants, releases) that need a connection as well.  */
 #define SPARE_CONNECTIONS 8
 /* Weight of a new send in the share of failures: about ten sends count.  */
@@ -36,7 +33,6 @@
   struct http_client *client;
   struct lineup *lineup;
   struct target_view view;
-  char host[ADDRESS_TEXT_BYTES];
   uv_timer_t wake;
   uv_idle_t turn; /* runs while decisions wait to be told */
   GQueue refused; /* jobs to be told of */
@@ -314,7 +310,7 @@
     .done = on_reply,
     .matches = belongs_to_job,
     .arg = job,
-    .timeout_ms = (uint32_t)left_ms + ANSWER_SLACK_MS,
+    .timeout_ms = (uint32_t)left_ms + ATTEMPT_ANSWER_SLACK_MS,
     .head_only = g_str_has_prefix (r->head->str, "HEAD "),
   };
   job->sent_ns = now_ns;
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -12,8 +12,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* How much later than its deadline a target's own answer may come.  */
-#define ANSWER_SLACK_MS 150
 /* Pause before a key whose owner is not known is looked up again.  */
 #define LOOK_AGAIN_MS 20
 /* Part of the time to the deadline that a request may wait for an owner:
@@ -234,7 +232,7 @@
 {
   int64_t ms = (p->request.deadline_ns - now_ns) / NS_PER_MS;
   uv_timer_start (&p->timer, on_deadline,
-                  (uint64_t)(ms > 0 ? ms : 0) + ANSWER_SLACK_MS, 0);
+                  (uint64_t)(ms > 0 ? ms : 0) + ATTEMPT_ANSWER_SLACK_MS, 0);
 }
 
 static void
--- a/src/own/agent_store.c
+++ b/src/own/agent_store.c
@@ -328,13 +328,10 @@
   struct agent_store *st = &a->store;
   if (st->call != CALL_NONE || now_ns < st->next_ns)
     return;
-  if (read_due (a, now_ns))
+  bool swap = swap_due (a, now_ns);
+  if (read_due (a, now_ns) || (swap && is_behind (a)))
     begin_read (a);
-  else if (!swap_due (a, now_ns))
-    return;
-  else if (is_behind (a))
-    begin_read (a);
-  else
+  else if (swap)
     try_swap (a, now_ns);
 }
 
--- a/src/own/place.c
+++ b/src/own/place.c
@@ -219,7 +219,7 @@
 static void
 scatter (const struct cell *cell, struct place_move *moves, uint32_t count)
 {
-  uint32_t owners[CELL_SLOTS_MAX];
+  uint32_t owners[CELL_SLOTS_MAX] = { 0 };
   uint32_t quota[CELL_MEMBERS_MAX] = { 0 };
   copy_owners (cell, owners);
   for (uint32_t i = 0; i < count; i++)
@@ -241,10 +241,10 @@
 {
   struct shares shares;
   uint32_t quota[CELL_MEMBERS_MAX];
-  uint32_t owners[CELL_SLOTS_MAX];
+  uint32_t owners[CELL_SLOTS_MAX] = { 0 };
   uint32_t count = cell_slots_owned (cell, 0);
   member_id id = 0;
-  uint32_t order[CELL_SLOTS_MAX];
+  uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   copy_owners (cell, owners);
   fill_shares (cell, loads, policy, &shares);
@@ -308,7 +308,7 @@
   uint32_t count = 0;
   uint32_t slot = 0;
   uint32_t owner = cell->members[from].incarnation;
-  uint32_t order[CELL_SLOTS_MAX];
+  uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   fill_shares (cell, NULL, policy, &shares);
   while (count < max)
@@ -413,7 +413,7 @@
   int64_t owned = cell_slots_owned (cell, giver->incarnation);
   uint32_t count = 0;
   uint32_t slot = 0;
-  uint32_t order[CELL_SLOTS_MAX];
+  uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   for (uint32_t i = 0; i < cell->member_count; i++)
     load[i] = (int64_t)loads->load[i] * LOAD_SCALE;
@@ -483,7 +483,7 @@
   uint32_t count = owned < max ? owned : max;
   uint32_t slot = 0;
   member_id id = 0;
-  uint32_t order[CELL_SLOTS_MAX];
+  uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   fill_shares (cell, NULL, POLICY_UNAVAILABLE_TIME_FIRST, &shares);
   member_id from = cell_find (cell, owner);
--- a/src/settings/address.c
+++ b/src/settings/address.c
@@ -2,9 +2,53 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  DECIMAL = 10
+};
+
+/* Copy the host of TEXT, without brackets, and return its port's text; NULL
+   when TEXT does not have the shape of an address.  */
+static const char *
+split_address (const char *text, char host[SETTINGS_HOST_BYTES], int *family)
+{
+  bool bracketed = text[0] == '[';
+  const char *begin = bracketed ? text + 1 : text;
+  const char *end = strchr (begin, bracketed ? ']' : ':');
+  if (end == NULL || end - begin >= SETTINGS_HOST_BYTES)
+    return NULL;
+  memcpy (host, begin, (size_t)(end - begin));
+  host[end - begin] = '\0';
+  *family = bracketed ? AF_INET6 : AF_INET;
+  if (bracketed && *++end != ':')
+    return NULL;
+  return end + 1;
+}
+
+enum address_fault
+settings_address_read (const char *text, struct settings_address *a)
+{
+  char host[SETTINGS_HOST_BYTES];
+  struct in6_addr binary;
+  int family = AF_INET;
+  const char *port_text = split_address (text, host, &family);
+  if (port_text == NULL || inet_pton (family, host, &binary) != 1)
+    return ADDRESS_SHAPE;
+  char *end = NULL;
+  bool digit = *port_text >= '0' && *port_text <= '9';
+  unsigned long port = digit ? strtoul (port_text, &end, DECIMAL) : 0;
+  if (!digit || *end != '\0' || port < 1 || port > UINT16_MAX)
+    return ADDRESS_PORT;
+  inet_ntop (family, &binary, a->host, sizeof a->host);
+  a->port = (uint16_t)port;
+  return ADDRESS_GOOD;
+}
+
 enum status
 settings_sockaddr (const struct settings_address *a,
                    struct sockaddr_storage *to)
--- a/src/settings/address.h
+++ b/src/settings/address.h
@@ -11,6 +11,19 @@
   ADDRESS_TEXT_BYTES = SETTINGS_HOST_BYTES + 8
 };
 
+/* What is wrong with the text of an address.  */
+enum address_fault
+{
+  ADDRESS_GOOD,
+  ADDRESS_SHAPE, /* not HOST:PORT or [HOST]:PORT with a numeric host */
+  ADDRESS_PORT   /* the port is not a number from 1 to 65535 */
+};
+
+/* Read TEXT into A, with one spelling for each address, so that addresses can
+   be compared.  A is undefined when TEXT is faulty.  */
+enum address_fault settings_address_read (const char *text,
+                                          struct settings_address *a);
+
 /* The socket address of A.  STATUS_INVALID when its host is not numeric.  */
 enum status settings_sockaddr (const struct settings_address *a,
                                struct sockaddr_storage *to);
--- a/src/settings/schema.c
+++ b/src/settings/schema.c
@@ -1,6 +1,6 @@
 #include "settings/schema.h"
 
-#include <arpa/inet.h>
+#include "settings/address.h"
 #include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -120,47 +120,23 @@
   return false;
 }
 
-/* Copy the host of TEXT, without brackets, and return its port's text; NULL
-   when TEXT does not have the shape of an address.  */
-static const char *
-split_address (const char *text, char host[SETTINGS_HOST_BYTES], int *family)
-{
-  bool bracketed = text[0] == '[';
-  const char *begin = bracketed ? text + 1 : text;
-  const char *end = strchr (begin, bracketed ? ']' : ':');
-  if (end == NULL || end - begin >= SETTINGS_HOST_BYTES)
-    return NULL;
-  memcpy (host, begin, (size_t)(end - begin));
-  host[end - begin] = '\0';
-  *family = bracketed ? AF_INET6 : AF_INET;
-  if (bracketed && *++end != ':')
-    return NULL;
-  return end + 1;
-}
-
 static bool
 parse_address (void *field, const struct setting *def, const char *text,
                char *problem)
 {
-  struct settings_address *address = (struct settings_address *)field;
-  char host[SETTINGS_HOST_BYTES];
-  struct in6_addr binary;
-  uint64_t port = 0;
-  int family = AF_INET;
   (void)def;
-  const char *port_text = split_address (text, host, &family);
-  if (port_text == NULL || inet_pton (family, host, &binary) != 1)
-    return refuse (problem, text, type_texts[SETTING_ADDRESS]);
-  if (!parse_decimal (port_text, &port) || port < 1 || port > UINT16_MAX)
+  switch (settings_address_read (text, (struct settings_address *)field))
     {
+    case ADDRESS_GOOD:
+      return true;
+    case ADDRESS_PORT:
       snprintf (problem, SETTING_PROBLEM_BYTES,
-                "port '%.16s' is not a number from 1 to 65535", port_text);
+                "port '%.16s' is not a number from 1 to 65535",
+                strrchr (text, ':') + 1);
       return false;
+    default:
+      return refuse (problem, text, type_texts[SETTING_ADDRESS]);
     }
-  /* One spelling for each address, so that addresses can be compared.  */
-  inet_ntop (family, &binary, address->host, sizeof address->host);
-  address->port = (uint16_t)port;
-  return true;
 }
 
 static bool
