--- a/src/own/place.c
+++ b/src/own/place.c
@@ -11,7 +11,8 @@
   QUARTER = 4,
   /* Three quarters of the loads are enough to go by load.  */
   KNOWN_LEAST = 3,
-  KNOWN_OF = 4
+  KNOWN_OF = 4,
+  NEIGHBOURS = 2
 };
 
 struct shares
@@ -187,8 +188,8 @@
 take_apart (const struct cell *cell, const uint32_t *owners, uint32_t slot,
             uint32_t quota[CELL_MEMBERS_MAX])
 {
-  member_id best = MEMBER_NONE;
-  int best_near = 0;
+  member_id best = 0;
+  int best_near = NEIGHBOURS + 1;
   for (uint32_t i = 0; i < cell->member_count; i++)
     {
       uint32_t owner = cell->members[i].incarnation;
@@ -196,8 +197,7 @@
                  + (owner_beside (cell, owners, slot, 1) == owner);
       if (quota[i] == 0)
         continue;
-      if (best == MEMBER_NONE || near < best_near
-          || (near == best_near && quota[i] > quota[best]))
+      if (near < best_near || (near == best_near && quota[i] > quota[best]))
         {
           best = i;
           best_near = near;
