Put the spread of documents in a file of its own

Cause: mesh.c had grown to 840 lines, of which 140 tell who is told and asked for documents of owners.

Change: src/mesh/spread.c; nothing else moves.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -7,12 +7,12 @@
 #include "mesh/balance.h"
 #include "mesh/directory.h"
 #include "mesh/egress.h"
-#include "mesh/fetches.h"
 #include "mesh/keys.h"
 #include "mesh/nodes.h"
 #include "mesh/owners.h"
 #include "mesh/pack.h"
 #include "mesh/router.h"
+#include "mesh/spread.h"
 #include "mesh/watcher.h"
 #include "settings/address.h"
 #include "store/worker.h"
@@ -88,7 +88,7 @@
   uv_timer_t count_timer;
   uv_signal_t term;
   uv_signal_t hup;
-  struct fetches *fetches;
+  struct spread *spread;
   int64_t fetched_ns;  /* the configuration, last */
   int64_t stopping_ns; /* since when; 0: no */
   bool was_ready;
@@ -373,143 +373,6 @@
   take_text (m, node, topic, revision, document->str, document->len);
   g_string_free (document, TRUE);
 }
-struct zone_look
-{
-  const struct mesh *m;
-  const char *service;
-  bool has_member;  /* another node of the service is in the own zone */
-  bool has_earlier; /* and one of them is before this node by name */
-};
-
-static bool
-look_at_zone (void *arg, const struct node_view *view)
-{
-  struct zone_look *look = arg;
-  const struct settings *s = look->m->settings;
-  if (strcmp (view->node->zone, s->zone) != 0
-      || strcmp (view->node->service, look->service) != 0)
-    return true;
-  look->has_member = true;
-  look->has_earlier |= strcmp (view->node->name, s->name) < 0;
-  return true;
-}
-
-/* Whether this node is the one of its zone that fetches the documents of
-   SERVICE from other zones.  */
-static bool
-is_first_of_zone (const struct mesh *m, const char *service)
-{
-  struct zone_look look = { .m = m, .service = service };
-  nodes_visit (m->nodes, look_at_zone, &look);
-  bool own = strcmp (service, m->settings->service) == 0;
-  return !look.has_member || (own && !look.has_earlier);
-}
-
-static void
-fetch_owners (struct mesh *m, const struct frame_node *node, uint32_t serial)
-{
-  struct fetch_case c = {
-    .service = node->service,
-    .have = owners_serial (m->owners, node->service),
-    .serial = serial,
-    .is_near = strcmp (node->zone, m->settings->zone) == 0,
-  };
-  if (serial <= c.have)
-    return;
-  if (strcmp (node->service, m->settings->service) == 0)
-    keys_heard (m->keys, serial);
-  c.is_first = c.is_near || is_first_of_zone (m, node->service);
-  if (fetches_ask (m->fetches, &c, clock_now_ns ()))
-    nodes_fetch (m->nodes, &node->address, FRAME_CELL);
-}
-
-static bool
-fetch_from_view (void *arg, const struct node_view *view)
-{
-  fetch_owners (arg, view->node, view->state->cell_serial);
-  return true;
-}
-
-/* The owner that NAME was believed to be is none: if NAME knows more, learn it
-   from there at once, whatever the zone.  */
-static void
-not_owner (void *arg, const char *name)
-{
-  struct mesh *m = arg;
-  const struct frame_state *state;
-  const struct frame_node *node = nodes_find (m->nodes, name, &state);
-  if (node == NULL)
-    return;
-  struct fetch_case c = {
-    .service = node->service,
-    .have = owners_serial (m->owners, node->service),
-    .serial = state->cell_serial,
-    .is_first = true,
-  };
-  if (fetches_ask (m->fetches, &c, clock_now_ns ()))
-    nodes_fetch (m->nodes, &node->address, FRAME_CELL);
-}
-
-/* Who writes a document tells all; in each zone one member tells the
-   others.  */
-static void
-tell_document (void *arg, bool own_change)
-{
-  struct mesh *m = arg;
-  if (own_change)
-    nodes_tell (m->nodes);
-  else if (is_first_of_zone (m, m->settings->service))
-    nodes_tell_zone (m->nodes);
-}
-
-struct holder_look
-{
-  const struct mesh *m;
-  const struct settings_address *from;
-  uint32_t serial;
-  struct settings_address best;
-  bool found;
-};
-
-/* FROM if nobody near has the document.  */
-static bool
-look_for_holder (void *arg, const struct node_view *view)
-{
-  struct holder_look *look = arg;
-  const struct frame_node *n = view->node;
-  bool is_from = n->address.port == look->from->port
-                 && strcmp (n->address.host, look->from->host) == 0;
-  bool is_near = strcmp (n->zone, look->m->settings->zone) == 0
-                 && strcmp (n->service, look->m->settings->service) == 0
-                 && view->state->cell_serial >= look->serial;
-  if (is_from || is_near)
-    {
-      look->best = n->address;
-      look->found = true;
-    }
-  return !is_near;
-}
-
-/* A member needs the document: it asks whatever the zone.  */
-static bool
-fetch_for_member (void *arg, const struct settings_address *from,
-                  uint32_t serial)
-{
-  struct mesh *m = arg;
-  struct holder_look look = { .m = m, .from = from, .serial = serial };
-  struct fetch_case c = {
-    .service = m->settings->service,
-    .have = keys_serial (m->keys),
-    .serial = serial,
-    .is_first = true,
-  };
-  nodes_visit (m->nodes, look_for_holder, &look);
-  if (!look.found)
-    return false;
-  if (fetches_ask (m->fetches, &c, clock_now_ns ()))
-    nodes_fetch (m->nodes, &look.best, FRAME_CELL);
-  return true;
-}
 
 static void
 state_changed (void *arg, const struct frame_node *node,
@@ -524,7 +387,7 @@
       m->fetched_ns = now_ns;
       nodes_fetch (m->nodes, &node->address, FRAME_ROUTES);
     }
-  fetch_owners (m, node, state->cell_serial);
+  spread_hear (m->spread, node, state->cell_serial);
 }
 
 static void
@@ -616,7 +479,7 @@
 {
   struct mesh *m = timer->data;
   choose_watch_wait (m);
-  nodes_visit (m->nodes, fetch_from_view, m);
+  spread_look_again (m->spread);
   router_relax (m->router);
   struct target_load load = egress_read_load (m->egress, clock_now_ns ());
   uint32_t slots = load.slots > 0 ? load.slots : 1;
@@ -714,20 +577,20 @@
   };
   m->egress = egress_open (&m->loop, m->dialect, s, &egress_hooks);
   m->owners = owners_new ();
-  m->fetches = fetches_new ();
   m->nodes = nodes_open (&m->loop, &m->self, &nodes_hooks);
   m->worker = store_worker_start (m->dialect->open_store (s));
   if (m->nodes == NULL || m->worker == NULL)
     return STATUS_SYSTEM;
-  struct keys_parts keys_parts = {
-    &m->loop,         m->dialect,    s,         m->worker,
-    m->inbox,         m->nodes,      m->owners, egress_client (m->egress),
-    fetch_for_member, tell_document, m
-  };
-  struct router_parts router_parts = { &m->loop,  m->dialect, s,
-                                       m->egress, m->nodes,   m->owners,
-                                       not_owner, m };
+  m->spread = spread_new (s, m->nodes, m->owners);
+  struct keys_parts keys_parts
+      = { &m->loop,     m->dialect,       s,         m->worker,
+          m->inbox,     m->nodes,         m->owners, egress_client (m->egress),
+          spread_fetch, spread_published, m->spread };
+  struct router_parts router_parts
+      = { &m->loop,  m->dialect,       s,        m->egress, m->nodes,
+          m->owners, spread_not_owner, m->spread };
   m->keys = keys_open (&keys_parts);
+  spread_set_keys (m->spread, m->keys);
   m->router = router_open (&router_parts);
   return m->keys == NULL ? STATUS_SYSTEM : STATUS_OK;
 }
--- /dev/null
+++ b/src/mesh/spread.c
@@ -0,0 +1,171 @@
+#include "mesh/spread.h"
+
+#include "base/clock.h"
+#include "mesh/fetches.h"
+#include <glib.h>
+#include <string.h>
+
+struct spread
+{
+  const struct settings *settings;
+  struct nodes *nodes;
+  struct owners *owners;
+  struct keys *keys;
+  struct fetches *fetches;
+};
+
+struct spread *
+spread_new (const struct settings *settings, struct nodes *nodes,
+            struct owners *owners)
+{
+  struct spread *s = g_new0 (struct spread, 1);
+  s->settings = settings;
+  s->nodes = nodes;
+  s->owners = owners;
+  s->fetches = fetches_new ();
+  return s;
+}
+
+void
+spread_set_keys (struct spread *s, struct keys *keys)
+{
+  s->keys = keys;
+}
+
+struct zone_look
+{
+  const struct spread *spread;
+  const char *service;
+  bool has_member;  /* another node of the service is in the own zone */
+  bool has_earlier; /* and one of them is before this node by name */
+};
+
+static bool
+look_at_zone (void *arg, const struct node_view *view)
+{
+  struct zone_look *look = arg;
+  const struct settings *own = look->spread->settings;
+  if (strcmp (view->node->zone, own->zone) != 0
+      || strcmp (view->node->service, look->service) != 0)
+    return true;
+  look->has_member = true;
+  look->has_earlier |= strcmp (view->node->name, own->name) < 0;
+  return true;
+}
+
+/* Whether this node is the one of its zone that fetches the documents of
+   SERVICE from other zones.  */
+static bool
+is_first_of_zone (const struct spread *s, const char *service)
+{
+  struct zone_look look = { .spread = s, .service = service };
+  nodes_visit (s->nodes, look_at_zone, &look);
+  bool own = strcmp (service, s->settings->service) == 0;
+  return !look.has_member || (own && !look.has_earlier);
+}
+
+void
+spread_hear (struct spread *s, const struct frame_node *node, uint32_t serial)
+{
+  struct fetch_case c = {
+    .service = node->service,
+    .have = owners_serial (s->owners, node->service),
+    .serial = serial,
+    .is_near = strcmp (node->zone, s->settings->zone) == 0,
+  };
+  if (serial <= c.have)
+    return;
+  if (strcmp (node->service, s->settings->service) == 0)
+    keys_heard (s->keys, serial);
+  c.is_first = c.is_near || is_first_of_zone (s, node->service);
+  if (fetches_ask (s->fetches, &c, clock_now_ns ()))
+    nodes_fetch (s->nodes, &node->address, FRAME_CELL);
+}
+
+static bool
+hear_again (void *arg, const struct node_view *view)
+{
+  spread_hear (arg, view->node, view->state->cell_serial);
+  return true;
+}
+
+void
+spread_look_again (struct spread *s)
+{
+  nodes_visit (s->nodes, hear_again, s);
+}
+
+void
+spread_not_owner (void *arg, const char *name)
+{
+  struct spread *s = arg;
+  const struct frame_state *state;
+  const struct frame_node *node = nodes_find (s->nodes, name, &state);
+  if (node == NULL)
+    return;
+  struct fetch_case c = {
+    .service = node->service,
+    .have = owners_serial (s->owners, node->service),
+    .serial = state->cell_serial,
+    .is_first = true,
+  };
+  if (fetches_ask (s->fetches, &c, clock_now_ns ()))
+    nodes_fetch (s->nodes, &node->address, FRAME_CELL);
+}
+
+void
+spread_published (void *arg, bool own_change)
+{
+  struct spread *s = arg;
+  if (own_change)
+    nodes_tell (s->nodes);
+  else if (is_first_of_zone (s, s->settings->service))
+    nodes_tell_zone (s->nodes);
+}
+
+struct holder_look
+{
+  const struct spread *spread;
+  const struct settings_address *from;
+  uint32_t serial;
+  struct settings_address best;
+  bool found;
+};
+
+/* FROM if nobody near has the document.  */
+static bool
+look_for_holder (void *arg, const struct node_view *view)
+{
+  struct holder_look *look = arg;
+  const struct frame_node *n = view->node;
+  bool is_from = n->address.port == look->from->port
+                 && strcmp (n->address.host, look->from->host) == 0;
+  bool is_near = strcmp (n->zone, look->spread->settings->zone) == 0
+                 && strcmp (n->service, look->spread->settings->service) == 0
+                 && view->state->cell_serial >= look->serial;
+  if (is_from || is_near)
+    {
+      look->best = n->address;
+      look->found = true;
+    }
+  return !is_near;
+}
+
+bool
+spread_fetch (void *arg, const struct settings_address *from, uint32_t serial)
+{
+  struct spread *s = arg;
+  struct holder_look look = { .spread = s, .from = from, .serial = serial };
+  struct fetch_case c = {
+    .service = s->settings->service,
+    .have = keys_serial (s->keys),
+    .serial = serial,
+    .is_first = true,
+  };
+  nodes_visit (s->nodes, look_for_holder, &look);
+  if (!look.found)
+    return false;
+  if (fetches_ask (s->fetches, &c, clock_now_ns ()))
+    nodes_fetch (s->nodes, &look.best, FRAME_CELL);
+  return true;
+}
