Leave no lost guardian behind without a guardian of its own

A member that leaves makes its guardian the heir of its wards; here the heir was the ward, had no second guardian, and was left without any: nobody could declare it dead.

Change: such a ward gets another guardian in the same swap.

--- a/src/own/agent_plan.c
+++ b/src/own/agent_plan.c
@@ -292,10 +292,24 @@
          && a->move.state == MOVE_NONE;
 }
 
+/* The heir may itself be a ward that has no other guardian, and be lost: it
+   would be left without any, and nobody could declare it dead.  */
+static void
+plan_other_guardian (struct agent *a, struct cell *next, uint32_t heir)
+{
+  const struct cell_member *m = cell_member (next, heir);
+  if (m == NULL || m->guardian != a->self || m->second != 0)
+    return;
+  uint32_t other = place_guardian (next, heir, m, &a->self, 1);
+  if (other != 0 && other != a->self)
+    cell_set_guardian (next, heir, other);
+}
+
 static bool
 plan_resign (struct agent *a, struct cell *next)
 {
   uint32_t heir = cell_member (next, a->self)->guardian;
+  plan_other_guardian (a, next, heir);
   return cell_remove (next, a->self, heir) == STATUS_OK;
 }
 
--- a/test/unit/test_own_world.c
+++ b/test/unit/test_own_world.c
@@ -255,6 +255,62 @@
     }
 }
 
+/* A member without slots that guards its guardian, which has no other one;
+   0: there is none, or nobody else is active.  */
+static uint32_t
+idle_one_of_a_pair (const struct cell *cell)
+{
+  for (uint32_t k = 0; k < cell->member_count; k++)
+    {
+      const struct cell_member *m = &cell->members[k];
+      const struct cell_member *g = cell_member (cell, m->guardian);
+      if (g != NULL && g->guardian == m->incarnation && g->second == 0
+          && m->state == MEMBER_ACTIVE && g->state == MEMBER_ACTIVE
+          && cell_slots_owned (cell, m->incarnation) == 0
+          && cell_count_state (cell, MEMBER_ACTIVE) > 2)
+        return m->incarnation;
+    }
+  return 0;
+}
+
+/* Two guard each other for a moment while members join: one is lost, the other
+   leaves and may not make it its heir.  */
+static void
+guardian_leaves_its_lost_guardian (void **state)
+{
+  (void)state;
+  unsigned tried = 0;
+  for (uint64_t seed = 1; seed <= 200; seed++)
+    {
+      struct world *w = make_world (seed, 1, 1);
+      uint32_t a = 0;
+      for (int i = 0; i < 4; i++)
+        world_add (w);
+      for (int i = 0; i < 2000 && a == 0; i++)
+        {
+          world_run (w, world_now (w) + NS_PER_MS);
+          a = idle_one_of_a_pair (world_document (w));
+        }
+      if (a != 0)
+        {
+          uint32_t leaving = agent_of (w, a);
+          uint32_t lost
+              = agent_of (w, cell_member (world_document (w), a)->guardian);
+          tried++;
+          agent_leave (world_agent (w, leaving), world_local_now (w, leaving));
+          world_kill (w, lost);
+          world_run (w, world_now (w) + HEAL_NS);
+          if (world_unserved (w) > 0)
+            fail_msg ("seed %llu: %u slots unserved", (unsigned long long)seed,
+                      world_unserved (w));
+          assert_sound (w);
+        }
+      world_free (w);
+    }
+  print_message ("%u pairs tried\n", tried);
+  assert_true (tried > 0);
+}
+
 /* A member that has no document yet, or is none: no message may need one.  */
 static void
 messages_before_the_first_document (void **state)
@@ -751,6 +807,7 @@
     cmocka_unit_test (guardian_lost_as_well),
     cmocka_unit_test (circle_of_seconds_lost),
     cmocka_unit_test (circle_of_seconds_cut_off),
+    cmocka_unit_test (guardian_leaves_its_lost_guardian),
     cmocka_unit_test (messages_before_the_first_document),
     cmocka_unit_test (zone_lost),
     cmocka_unit_test (restart_takes_slots_back),
