Pause for the whole time also above a second

Cause: clock_pause_ms left seconds in the nanoseconds, which nanosleep refuses. The watcher of the configuration pauses 0.8 to 1.6 s after failures in a row: above one second it did not pause at all and called the store again at once. Five other places had a pause of their own, two of them for any length.

Change: clock_pause_ns splits the time; clock_pause_ms and the five places call it. The test fails on the code before (1,100 ms returned at once).

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -21,6 +21,12 @@
 void
 clock_pause_ms (int64_t ms)
 {
-  struct timespec pause = { 0, ms * NS_PER_MS };
+  clock_pause_ns (ms * NS_PER_MS);
+}
+
+void
+clock_pause_ns (int64_t ns)
+{
+  struct timespec pause = { ns / NS_PER_S, ns % NS_PER_S };
   nanosleep (&pause, NULL);
 }
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -19,7 +19,8 @@
 /* Milliseconds of wall time since 1970.  */
 int64_t clock_wall_ms (void);
 
-/* Sleep for MS milliseconds, less than a second; a signal may end it early. */
+/* Sleep for MS milliseconds, or NS nanoseconds; a signal may end it early.  */
 void clock_pause_ms (int64_t ms);
+void clock_pause_ns (int64_t ns);
 
 #endif
--- a/src/base/inbox.c
+++ b/src/base/inbox.c
@@ -1,4 +1,5 @@
 #include "base/inbox.h"
+#include "base/clock.h"
 #include "base/counter.h"
 
 #include <ck_pr.h>
@@ -6,7 +7,6 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <sys/eventfd.h>
-#include <time.h>
 #include <unistd.h>
 
 enum
@@ -86,9 +86,8 @@
 void
 inbox_put_wait (struct inbox *in, void *item)
 {
-  struct timespec pause = { 0, FULL_PAUSE_NS };
   while (inbox_put (in, item) != STATUS_OK)
-    nanosleep (&pause, NULL);
+    clock_pause_ns (FULL_PAUSE_NS);
 }
 
 void *
--- a/src/conf/submit.c
+++ b/src/conf/submit.c
@@ -5,7 +5,6 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <xxhash.h>
 
 enum
@@ -48,9 +47,8 @@
 static void
 real_pause (void *arg, int64_t ns)
 {
-  struct timespec t = { ns / NS_PER_S, ns % NS_PER_S };
   (void)arg;
-  nanosleep (&t, NULL);
+  clock_pause_ns (ns);
 }
 
 void
--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -495,12 +495,11 @@
 peers_drain (struct service *self)
 {
   struct peers *p = (struct peers *)self;
-  struct timespec pause = { 0, NS_PER_MS };
   int64_t until_ns
       = clock_now_ns () + p->settings->deadline_max_ms * NS_PER_MS;
   /* The size is read without a lock: a late view costs one pause.  */
   while (g_hash_table_size (p->origins) > 0 && clock_now_ns () < until_ns)
-    nanosleep (&pause, NULL);
+    clock_pause_ms (1);
 }
 
 static void
--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -12,7 +12,6 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
@@ -84,13 +83,6 @@
   return (uint32_t)(e->random >> 32);
 }
 
-static void
-sleep_ns (int64_t ns)
-{
-  struct timespec ts = { ns / NS_PER_S, ns % NS_PER_S };
-  nanosleep (&ts, NULL);
-}
-
 static void
 count_send (enum call_kind kind)
 {
@@ -270,7 +262,7 @@
   int64_t left_ns = backoff_left (&e->endpoints[n].backoff, began_ns);
   if (left_ns == 0)
     return STATUS_OK;
-  sleep_ns (left_ns < most_ns ? left_ns : most_ns);
+  clock_pause_ns (left_ns < most_ns ? left_ns : most_ns);
   if (left_ns <= most_ns)
     return STATUS_OK;
   return status_set (STATUS_UNAVAILABLE, "%s: not called for %" PRId64 " ms",
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -5,7 +5,6 @@
 #include "base/log.h"
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 enum
 {
@@ -88,7 +87,6 @@
 store_swap_resolved (struct store *st, const struct store_change *change,
                      int64_t until_ns, int64_t *revision)
 {
-  const struct timespec pause = { 0, RESOLVE_PAUSE_MS * NS_PER_MS };
   enum status status = swap (st, change, revision);
   if (status != STATUS_IN_DOUBT)
     return status;
@@ -103,7 +101,7 @@
       if (clock_now_ns () + RESOLVE_PAUSE_MS * NS_PER_MS >= until_ns)
         return status_set (STATUS_IN_DOUBT, "%s: outcome of a swap not known",
                            change->key);
-      nanosleep (&pause, NULL);
+      clock_pause_ms (RESOLVE_PAUSE_MS);
     }
 }
 
--- a/test/unit/test_base.c
+++ b/test/unit/test_base.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "base/inbox.h"
 #include "base/kernel.h"
 #include "base/status.h"
@@ -91,10 +92,24 @@
   inbox_free (in);
 }
 
+static void
+a_pause_lasts_also_above_a_second (void **state)
+{
+  static const int64_t pauses_ms[] = { 5, 1100 };
+  (void)state;
+  for (size_t i = 0; i < sizeof pauses_ms / sizeof pauses_ms[0]; i++)
+    {
+      int64_t began_ns = clock_now_ns ();
+      clock_pause_ms (pauses_ms[i]);
+      assert_true (clock_now_ns () - began_ns >= pauses_ms[i] * NS_PER_MS);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_pause_lasts_also_above_a_second),
     cmocka_unit_test (kernel_orders_services),
     cmocka_unit_test (inbox_is_bounded_and_ordered),
   };
