Make the store jobs and the log of an agent in one place

src/mesh/keys.c and src/route/ownd.c each made the jobs of an agent, took their results back, and counted takeovers and moves; three places gave a job that found no room back to its submitter. src/own/agent_env.c and store_worker_submit do it now; both environments call them. A field of struct keys that nothing used is gone. No change of behaviour.

--- a/src/mesh/directory.c
+++ b/src/mesh/directory.c
@@ -26,10 +26,7 @@
 submit (struct directory *d, struct store_job *job)
 {
   job->reply_to = d->parts.inbox;
-  if (store_worker_submit (d->parts.worker, job) == STATUS_OK)
-    return;
-  job->status = STATUS_UNAVAILABLE;
-  inbox_put_wait (d->parts.inbox, job);
+  store_worker_submit (d->parts.worker, job);
 }
 
 static void
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "mesh/grants.h"
 #include "mesh/pack.h"
-#include "own/agent.h"
+#include "own/agent_env.h"
 #include "settings/address.h"
 #include <inttypes.h>
 #include <stdlib.h>
@@ -35,7 +35,6 @@
   struct grants *grants;
   struct holdings *holdings;          /* of the grants */
   uint32_t in_flight[CELL_SLOTS_MAX]; /* requests at the target, by slot */
-  GArray *tokens;                     /* struct token */
   uv_udp_t udp;
   uv_timer_t timer;
   struct target_view target;
@@ -54,13 +53,6 @@
   bool left;
 };
 
-struct keys_job
-{
-  struct store_job job; /* first: it is freed by store_job_free */
-  uint32_t generation;
-  bool document; /* a document for the agent, not the answer to its read */
-};
-
 static void work (struct keys *k);
 
 static struct keys *
@@ -148,44 +140,26 @@
 }
 
 static void
-submit (struct keys *k, struct keys_job *job)
+submit (struct keys *k, struct agent_job *job)
 {
   const struct settings *s = k->parts.settings;
   job->generation = k->generation;
   job->job.reply_to = k->parts.inbox;
   snprintf (job->job.key, sizeof job->job.key, "%s/cell/%s", s->store_prefix,
             s->service);
-  if (store_worker_submit (k->parts.worker, &job->job) == STATUS_OK)
-    return;
-  job->job.mail.kind = MAIL_STORE;
-  job->job.status = STATUS_UNAVAILABLE;
-  inbox_put_wait (k->parts.inbox, job);
-}
-
-static struct keys_job *
-new_job (enum store_call call)
-{
-  struct keys_job *job = calloc (1, sizeof *job);
-  if (job == NULL)
-    abort ();
-  job->job.call = call;
-  return job;
+  store_worker_submit (k->parts.worker, &job->job);
 }
 
 static void
 env_read (struct agent_env *env)
 {
-  submit (from_env (env), new_job (STORE_READ));
+  submit (from_env (env), agent_job_read (false));
 }
 
 static void
 env_swap (struct agent_env *env, int64_t expected, char *json, size_t length)
 {
-  struct keys_job *job = new_job (STORE_SWAP);
-  job->job.expected = expected;
-  job->job.data = json;
-  job->job.length = length;
-  submit (from_env (env), job);
+  submit (from_env (env), agent_job_swap (expected, json, length));
 }
 
 static void
@@ -193,11 +167,8 @@
            uint64_t serial)
 {
   struct keys *k = from_env (env);
-  if (k->parts.fetch (k->parts.arg, from, (uint32_t)serial))
-    return;
-  struct keys_job *job = new_job (STORE_READ);
-  job->document = true;
-  submit (k, job);
+  if (!k->parts.fetch (k->parts.arg, from, (uint32_t)serial))
+    submit (k, agent_job_read (true));
 }
 
 /* Pass a handover to the keys' new owner.  */
@@ -328,13 +299,9 @@
 env_notify (struct agent_env *env, enum event ev, const char *detail)
 {
   struct keys *k = from_env (env);
-  log_event (ev, "member=%s %s", k->parts.settings->name, detail);
+  agent_env_note (k->parts.settings->name, ev, detail);
   if (ev == EV_LEFT)
     k->left = true;
-  if (ev == EV_MEMBER_DECLARED_DEAD)
-    counter_add (COUNTER_takeovers_total, 1);
-  if (ev == EV_SLOTS_MOVED)
-    counter_add (COUNTER_slots_moved_total, 1);
 }
 
 static bool
@@ -563,7 +530,7 @@
 bool
 keys_on_store (struct keys *k, struct store_job *job, int64_t now_ns)
 {
-  struct keys_job *own = (struct keys_job *)job;
+  struct agent_job *own = (struct agent_job *)job;
   if (job->call != STORE_READ && job->call != STORE_SWAP)
     return false;
   if (k->agent == NULL || own->generation != k->generation)
@@ -571,19 +538,9 @@
       store_job_free (job);
       return true;
     }
-  if (job->call == STORE_SWAP)
-    {
-      k->own_change = true;
-      agent_on_swap (k->agent, job->status, job->revision, now_ns);
-      k->own_change = false;
-    }
-  else if (!own->document)
-    agent_on_read (k->agent, job->status, job->value.revision, job->value.data,
-                   job->value.length, now_ns);
-  else if (job->status == STATUS_OK)
-    agent_on_document (k->agent, job->value.revision, job->value.data,
-                       job->value.length, now_ns);
-  store_job_free (job);
+  k->own_change = job->call == STORE_SWAP;
+  agent_job_done (k->agent, own, now_ns);
+  k->own_change = false;
   work (k);
   return true;
 }
--- a/src/route/ownd.c
+++ b/src/route/ownd.c
@@ -2,7 +2,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
-#include "own/agent.h"
+#include "own/agent_env.h"
 #include "route/confd.h"
 #include "route/peers_docs.h"
 #include "route/storeq.h"
@@ -99,52 +99,23 @@
 }
 
 static void
-submit_job (struct ownd *o, struct store_job *job)
+submit_job (struct ownd *o, struct agent_job *job)
 {
-  job->reply_to = o->inbox;
-  snprintf (job->key, sizeof job->key, "%s", o->document_key);
-  if (storeq_submit (o->storeq, job) == STATUS_OK)
-    return;
-  job->status = STATUS_UNAVAILABLE;
-  inbox_put_wait (o->inbox, job);
+  job->job.reply_to = o->inbox;
+  snprintf (job->job.key, sizeof job->job.key, "%s", o->document_key);
+  storeq_submit (o->storeq, &job->job);
 }
 
 static void
 env_read (struct agent_env *env)
 {
-  struct ownd *o = from_env (env);
-  struct store_job *job = calloc (1, sizeof *job);
-  if (job == NULL)
-    abort ();
-  job->call = STORE_READ;
-  submit_job (o, job);
+  submit_job (from_env (env), agent_job_read (false));
 }
 
 static void
 env_swap (struct agent_env *env, int64_t expected, char *json, size_t length)
 {
-  struct ownd *o = from_env (env);
-  struct store_job *job = calloc (1, sizeof *job);
-  if (job == NULL)
-    abort ();
-  job->call = STORE_SWAP;
-  job->expected = expected;
-  job->data = json;
-  job->length = length;
-  submit_job (o, job);
-}
-
-/* Read the document from the store because no peer gave it.  The agent takes
-   it as a document, not as the answer to its own read.  */
-static void
-read_instead (struct ownd *o)
-{
-  struct store_job *job = calloc (1, sizeof *job);
-  if (job == NULL)
-    return;
-  job->call = STORE_READ;
-  job->expected = -1;
-  submit_job (o, job);
+  submit_job (from_env (env), agent_job_swap (expected, json, length));
 }
 
 /* Fetch the document from the member at ADDRESS.  False when that did not
@@ -272,13 +243,9 @@
 env_notify (struct agent_env *env, enum event ev, const char *detail)
 {
   struct ownd *o = from_env (env);
-  log_event (ev, "member=%s %s", o->settings->name, detail);
+  agent_env_note (o->settings->name, ev, detail);
   if (ev == EV_LEFT)
     ck_pr_store_32 (&o->left, 1);
-  if (ev == EV_MEMBER_DECLARED_DEAD)
-    counter_add (COUNTER_takeovers_total, 1);
-  if (ev == EV_SLOTS_MOVED)
-    counter_add (COUNTER_slots_moved_total, 1);
 }
 
 static const struct agent_env_ops env_ops = {
@@ -313,20 +280,6 @@
     }
 }
 
-static void
-on_store (struct ownd *o, struct store_job *job, int64_t now_ns)
-{
-  if (job->call == STORE_SWAP)
-    agent_on_swap (o->agent, job->status, job->revision, now_ns);
-  else if (job->expected == 0)
-    agent_on_read (o->agent, job->status, job->value.revision, job->value.data,
-                   job->value.length, now_ns);
-  else if (job->status == STATUS_OK)
-    agent_on_document (o->agent, job->value.revision, job->value.data,
-                       job->value.length, now_ns);
-  store_job_free (job);
-}
-
 static void
 on_fetched (struct ownd *o, struct peers_fetch *f, int64_t now_ns)
 {
@@ -335,7 +288,7 @@
   if (f->status == STATUS_OK && f->data != NULL)
     agent_on_document (o->agent, f->revision, f->data, f->length, now_ns);
   else if (!f->optional && (f->status != STATUS_OK || f->revision < f->known))
-    read_instead (o);
+    submit_job (o, agent_job_read (true)); /* no peer gave it */
   peers_fetch_free (f);
 }
 
@@ -373,7 +326,7 @@
     {
       int64_t now_ns = clock_now_ns ();
       if (mail->kind == MAIL_STORE)
-        on_store (o, (struct store_job *)mail, now_ns);
+        agent_job_done (o->agent, (struct agent_job *)mail, now_ns);
       else if (mail->kind == MAIL_FETCH)
         on_fetched (o, (struct peers_fetch *)mail, now_ns);
       else
--- a/src/route/storeq.c
+++ b/src/route/storeq.c
@@ -51,8 +51,8 @@
   return &q->service;
 }
 
-enum status
+void
 storeq_submit (struct service *storeq, struct store_job *job)
 {
-  return store_worker_submit (((struct storeq *)storeq)->worker, job);
+  store_worker_submit (((struct storeq *)storeq)->worker, job);
 }
--- a/src/route/storeq.h
+++ b/src/route/storeq.h
@@ -14,6 +14,6 @@
                             struct map *m);
 
 /* As store_worker_submit.  */
-enum status storeq_submit (struct service *storeq, struct store_job *job);
+void storeq_submit (struct service *storeq, struct store_job *job);
 
 #endif
--- a/src/store/worker.c
+++ b/src/store/worker.c
@@ -155,16 +155,20 @@
   return NULL;
 }
 
+static void
+refuse (struct store_job *job)
+{
+  job->status = STATUS_UNAVAILABLE;
+  inbox_put_wait (job->reply_to, job);
+}
+
 /* Jobs that were not begun end as not written.  */
 static void
 refuse_jobs (struct store_worker *w)
 {
   struct store_job *job;
   while ((job = inbox_take (w->inbox)) != NULL)
-    {
-      job->status = STATUS_UNAVAILABLE;
-      inbox_put_wait (job->reply_to, job);
-    }
+    refuse (job);
 }
 
 void
@@ -186,11 +190,12 @@
   free (w);
 }
 
-enum status
+void
 store_worker_submit (struct store_worker *w, struct store_job *job)
 {
   job->mail.kind = MAIL_STORE;
-  return inbox_put (w->inbox, job);
+  if (inbox_put (w->inbox, job) != STATUS_OK)
+    refuse (job);
 }
 
 void
--- a/src/store/worker.h
+++ b/src/store/worker.h
@@ -55,10 +55,9 @@
 /* Free W, which has ended, with its store.  W may be NULL.  */
 void store_worker_free (struct store_worker *w);
 
-/* Have JOB done; it comes back to its reply_to.  STATUS_FULL: the caller
-   keeps JOB.  Any thread.  */
-enum status store_worker_submit (struct store_worker *w,
-                                 struct store_job *job);
+/* Have JOB done; it comes back to its reply_to, as not written when there are
+   too many.  Any thread.  */
+void store_worker_submit (struct store_worker *w, struct store_job *job);
 
 void store_job_free (struct store_job *job);
 
