--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "store/backoff.h"
+#include "store/transfer.h"
 #include <ck_pr.h>
 #include <curl/curl.h>
 #include <glib.h>
@@ -28,13 +29,6 @@
   HTTP_SERVER_ERROR = 500
 };
 
-enum call_kind
-{
-  CALL_READ,
-  CALL_WRITE,
-  CALL_WATCH
-};
-
 struct endpoint
 {
   char url[URL_BYTES];
@@ -56,15 +50,6 @@
   struct curl_slist *headers;
 };
 
-/* One transfer of one call.  */
-struct transfer
-{
-  enum call_kind kind;
-  uint32_t sends; /* times that its request was sent or begun to be */
-  GString *reply;
-  size_t limit; /* bytes of reply */
-};
-
 static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
 
 static void
@@ -83,45 +68,6 @@
   return (uint32_t)(e->random >> 32);
 }
 
-static void
-count_send (enum call_kind kind)
-{
-  static const enum counter counters[]
-      = { COUNTER_store_reads_total, COUNTER_store_writes_total,
-          COUNTER_store_watches_total };
-  counter_add (counters[kind], 1);
-}
-
-/* Called by libcurl when a connection stands, before the request is sent.
-   libcurl sends a request again by itself when a reused connection closes
-   before the answer: the second of two swaps would report a conflict with the
-   first, so a write is sent once.  */
-static int
-before_send (void *arg, char *ip, char *local_ip, int port, int local_port)
-{
-  struct transfer *t = arg;
-  (void)ip;
-  (void)local_ip;
-  (void)port;
-  (void)local_port;
-  if (t->sends > 0 && t->kind == CALL_WRITE)
-    return CURL_PREREQFUNC_ABORT;
-  t->sends++;
-  count_send (t->kind);
-  return CURL_PREREQFUNC_OK;
-}
-
-static size_t
-on_data (char *data, size_t size, size_t count, void *arg)
-{
-  struct transfer *t = arg;
-  size_t n = size * count;
-  if (t->reply->len + n > t->limit)
-    return 0;
-  g_string_append_len (t->reply, data, (gssize)n);
-  return n;
-}
-
 /* The endpoint to call next, at NOW_NS: the first from the current one on that
    is not backed off, else the one that is ready first.  */
 static uint32_t
@@ -177,24 +123,7 @@
   curl_easy_setopt (c, CURLOPT_URL, url);
   curl_easy_setopt (c, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body->len);
   curl_easy_setopt (c, CURLOPT_POSTFIELDS, body->str);
-  curl_easy_setopt (c, CURLOPT_WRITEDATA, t);
-  curl_easy_setopt (c, CURLOPT_PREREQDATA, t);
-  t->sends = 0;
-  g_string_truncate (t->reply, 0);
-}
-
-/* What it means that T got no answer.  */
-static enum status
-no_answer (const struct transfer *t, const char *url, CURLcode code)
-{
-  const char *problem = curl_easy_strerror (code);
-  if (t->sends == 0)
-    return status_set (STATUS_UNAVAILABLE, "%s: %s, nothing was sent", url,
-                       problem);
-  if (t->kind == CALL_WRITE)
-    return status_set (STATUS_IN_DOUBT, "%s: %s after the request was sent",
-                       url, problem);
-  return status_set (STATUS_TIMEOUT, "%s: %s, no answer", url, problem);
+  transfer_begin (c, t);
 }
 
 /* What an answer with HTTP status CODE other than 200 means.  A server error
@@ -235,7 +164,7 @@
   curl_easy_getinfo (e->curl, CURLINFO_RESPONSE_CODE, &code);
   enum status status = STATUS_OK;
   if (result != CURLE_OK)
-    status = no_answer (t, e->endpoints[n].url, result);
+    status = transfer_no_answer (t, e->endpoints[n].url, result);
   else if (code != HTTP_OK)
     status = refused (t, e->endpoints[n].url, code);
   if (is_failure (status))
@@ -686,14 +615,10 @@
 set_options (struct etcd *e)
 {
   CURL *c = e->curl;
-  curl_easy_setopt (c, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (c, CURLOPT_PROXY, "");
-  curl_easy_setopt (c, CURLOPT_PROTOCOLS_STR, "http");
+  transfer_set_options (c);
   curl_easy_setopt (c, CURLOPT_POST, 1L);
   curl_easy_setopt (c, CURLOPT_HTTPHEADER, e->headers);
   curl_easy_setopt (c, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_S);
-  curl_easy_setopt (c, CURLOPT_WRITEFUNCTION, on_data);
-  curl_easy_setopt (c, CURLOPT_PREREQFUNCTION, before_send);
 }
 
 struct store *
--- /dev/null
+++ b/src/store/transfer.c
@@ -0,0 +1,76 @@
+#include "store/transfer.h"
+
+#include "base/counter.h"
+
+static void
+count_send (enum call_kind kind)
+{
+  static const enum counter counters[]
+      = { COUNTER_store_reads_total, COUNTER_store_writes_total,
+          COUNTER_store_watches_total };
+  counter_add (counters[kind], 1);
+}
+
+/* Called by libcurl when a connection stands, before the request is sent.
+   libcurl sends a request again by itself when a reused connection closes
+   before the answer: the second of two swaps would report a conflict with the
+   first, so a write is sent once.  */
+static int
+before_send (void *arg, char *ip, char *local_ip, int port, int local_port)
+{
+  struct transfer *t = arg;
+  (void)ip;
+  (void)local_ip;
+  (void)port;
+  (void)local_port;
+  if (t->sends > 0 && t->kind == CALL_WRITE)
+    return CURL_PREREQFUNC_ABORT;
+  t->sends++;
+  count_send (t->kind);
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_data (char *data, size_t size, size_t count, void *arg)
+{
+  struct transfer *t = arg;
+  size_t n = size * count;
+  if (t->reply->len + n > t->limit)
+    return 0;
+  g_string_append_len (t->reply, data, (gssize)n);
+  return n;
+}
+
+void
+transfer_set_options (CURL *handle)
+{
+  curl_easy_setopt (handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (handle, CURLOPT_PROXY, "");
+  curl_easy_setopt (handle, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (handle, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (handle, CURLOPT_PREREQFUNCTION, before_send);
+}
+
+void
+transfer_begin (CURL *handle, struct transfer *t)
+{
+  curl_easy_setopt (handle, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (handle, CURLOPT_PREREQDATA, t);
+  t->sends = 0;
+  g_string_truncate (t->reply, 0);
+}
+
+enum status
+transfer_no_answer (const struct transfer *t, const char *where, CURLcode code)
+{
+  const char *problem = curl_easy_strerror (code);
+  if (t->sends == 0)
+    return status_set (STATUS_UNAVAILABLE, "%s: %s, nothing was sent", where,
+                       problem);
+  if (t->kind == CALL_WRITE)
+    return status_set (STATUS_IN_DOUBT, "%s: %s after the request was sent",
+                       where, problem);
+  return status_set (t->kind == CALL_WATCH ? STATUS_UNAVAILABLE
+                                           : STATUS_TIMEOUT,
+                     "%s: %s, no answer", where, problem);
+}
