Parse a document of owners once at a member

A member parsed each document three times: the agent, the list of owners when the agent published it, and that list again when the frame had been taken. The list copies the agent's cell now, and is not offered what the agent took. No change of behaviour.

--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -232,7 +232,7 @@
   k->document_length = length;
   k->revision = view->revision;
   k->serial = view->cell->serial;
-  owners_offer (k->parts.owners, s->service, json, length);
+  owners_take (k->parts.owners, s->service, view->cell);
   if (view->cell->key_space == s->key_space)
     take_holdings (k, view->cell, view->self, clock_now_ns ());
   grants_pass_handovers (k->grants, pass_handover, k);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -344,9 +344,11 @@
       take_routes (m, text, length, node->name);
       return;
     }
-  bool own = strcmp (node->service, m->settings->service) == 0;
-  if (own)
+  uint32_t known = owners_serial (m->owners, node->service);
+  if (strcmp (node->service, m->settings->service) == 0)
     keys_on_document (m->keys, revision, text, length, clock_now_ns ());
+  if (owners_serial (m->owners, node->service) > known)
+    return; /* the member took it, and published it */
   enum status s = owners_offer (m->owners, node->service, text, length);
   if (s == STATUS_OK)
     log_event (EV_OWNERS_LEARNED, "service=%s serial=%u from=%s",
--- a/src/mesh/owners.c
+++ b/src/mesh/owners.c
@@ -27,6 +27,16 @@
   return g_hash_table_lookup (o->cells, service);
 }
 
+/* Keep CELL as the document of SERVICE.  False unless it is newer.  */
+static bool
+keep (struct owners *o, const char *service, struct cell *cell)
+{
+  if (cell->serial <= owners_serial (o, service))
+    return false;
+  g_hash_table_replace (o->cells, g_strdup (service), cell);
+  return true;
+}
+
 enum status
 owners_offer (struct owners *o, const char *service, const char *text,
               size_t length)
@@ -35,13 +45,21 @@
   enum status s = cell_parse (text, length, &cell);
   if (s != STATUS_OK)
     return s;
+  if (keep (o, service, cell))
+    return STATUS_OK;
+  free (cell);
+  return STATUS_STALE;
+}
+
+void
+owners_take (struct owners *o, const char *service, const struct cell *cell)
+{
   if (cell->serial <= owners_serial (o, service))
-    {
-      free (cell);
-      return STATUS_STALE;
-    }
-  g_hash_table_replace (o->cells, g_strdup (service), cell);
-  return STATUS_OK;
+    return;
+  struct cell *copy = cell_copy (cell);
+  if (copy == NULL)
+    abort ();
+  keep (o, service, copy);
 }
 
 uint32_t
--- a/src/mesh/owners.h
+++ b/src/mesh/owners.h
@@ -17,6 +17,10 @@
 enum status owners_offer (struct owners *o, const char *service,
                           const char *text, size_t length);
 
+/* Take a copy of CELL as the document of SERVICE if it is newer.  */
+void owners_take (struct owners *o, const char *service,
+                  const struct cell *cell);
+
 /* The serial of SERVICE's document; 0: none.  */
 uint32_t owners_serial (const struct owners *o, const char *service);
 
