--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -581,7 +581,6 @@
 {
   view->node = &peer->node;
   view->state = &peer->state;
-  view->state_age_ns = clock_now_ns () - peer->heard_ns;
   view->sent_since = peer->sent_since;
 }
 
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -20,7 +20,6 @@
 {
   const struct frame_node *node;
   const struct frame_state *state;
-  int64_t state_age_ns;
   uint32_t sent_since; /* requests sent to it since that state */
 };
 
