Let the cell tell which numbers a slot holds

src/mesh/keys.c worked out the inverse of cell_slot_of_number by itself, and opened all keys in three loops. cell_first_number stands beside its inverse, with a test; holdings_open_all serves the three. No change of behaviour.

--- a/src/mesh/holdings.c
+++ b/src/mesh/holdings.c
@@ -64,6 +64,13 @@
   h->keys[key].closed = closed;
 }
 
+void
+holdings_open_all (struct holdings *h)
+{
+  for (uint32_t i = 0; i < h->count; i++)
+    h->keys[i].closed = false;
+}
+
 void
 holdings_wait (struct holdings *h, uint32_t key, int64_t at_ns)
 {
--- a/src/mesh/holdings.h
+++ b/src/mesh/holdings.h
@@ -42,6 +42,7 @@
 
 /* KEY is being handed over: it is not served nor granted.  */
 void holdings_close (struct holdings *h, uint32_t key, bool closed);
+void holdings_open_all (struct holdings *h);
 
 /* KEY's last holder is about to hand it over: no grant before AT_NS.  */
 void holdings_wait (struct holdings *h, uint32_t key, int64_t at_ns);
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -92,10 +92,8 @@
   k->move = 0;
   k->lease_ns = AGENT_NEVER_NS;
   for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
-    {
-      holdings_disown (k->holdings, i);
-      holdings_close (k->holdings, i, false);
-    }
+    holdings_disown (k->holdings, i);
+  holdings_open_all (k->holdings);
 }
 
 static void
@@ -246,28 +244,24 @@
 }
 
 static void
-close_keys (struct keys *k, const struct agent_move *move, bool closed)
+close_keys (struct keys *k, const struct agent_move *move)
 {
   const struct cell *cell = agent_cell (k->agent);
   if (move->key != NULL)
     {
       uint32_t number = (uint32_t)strtoul (move->key, NULL, 10);
       if (number < k->parts.settings->key_space)
-        holdings_close (k->holdings, number, closed);
+        holdings_close (k->holdings, number, true);
       return;
     }
   /* Also keys of the slots that are pinned elsewhere: one that comes back
      while its slot moves must not be granted here.  */
   for (uint32_t i = 0; i < move->slot_count; i++)
     {
-      uint32_t slot = move->slots[i];
-      uint64_t space = cell->key_space;
-      uint32_t from = (uint32_t)((slot * space + cell->slot_count - 1)
-                                 / cell->slot_count);
-      uint32_t end = (uint32_t)(((slot + 1) * space + cell->slot_count - 1)
-                                / cell->slot_count);
-      for (uint32_t key = from; key < end && key < space; key++)
-        holdings_close (k->holdings, key, closed);
+      uint32_t end = cell_first_number (cell, move->slots[i] + 1U);
+      for (uint32_t key = cell_first_number (cell, move->slots[i]); key < end;
+           key++)
+        holdings_close (k->holdings, key, true);
     }
 }
 
@@ -275,12 +269,11 @@
 env_close (struct agent_env *env, const struct agent_move *move)
 {
   struct keys *k = from_env (env);
-  for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
-    holdings_close (k->holdings, i, false);
+  holdings_open_all (k->holdings);
   k->move = move->id;
   k->move_reported = false;
   k->move_until_ns = clock_now_ns () + MOVE_LIMIT_NS;
-  close_keys (k, move, true);
+  close_keys (k, move);
 }
 
 static void
@@ -290,8 +283,7 @@
   if (k->move != id)
     return;
   k->move = 0;
-  for (uint32_t i = 0; i < k->parts.settings->key_space; i++)
-    holdings_close (k->holdings, i, false);
+  holdings_open_all (k->holdings);
   grants_look_again (k->grants);
 }
 
--- a/src/own/cell.c
+++ b/src/own/cell.c
@@ -484,6 +484,13 @@
   return (uint32_t)((uint64_t)number * cell->slot_count / cell->key_space);
 }
 
+uint32_t
+cell_first_number (const struct cell *cell, uint32_t slot)
+{
+  uint64_t scaled = (uint64_t)slot * cell->key_space;
+  return (uint32_t)((scaled + cell->slot_count - 1) / cell->slot_count);
+}
+
 uint32_t
 cell_slot_of (const struct cell *cell, const char *key, size_t length)
 {
--- a/src/own/cell.h
+++ b/src/own/cell.h
@@ -125,6 +125,10 @@
 /* The slot of the key NUMBER, below the cell's key space.  */
 uint32_t cell_slot_of_number (const struct cell *cell, uint32_t number);
 
+/* The first key number of SLOT, 0 to the number of slots: the key space for
+   that.  */
+uint32_t cell_first_number (const struct cell *cell, uint32_t slot);
+
 /* The owner of KEY: that of its pin, else that of its slot.  */
 struct cell_owner cell_owner_of (const struct cell *cell, const char *key,
                                  size_t length);
--- a/test/unit/test_own_cell.c
+++ b/test/unit/test_own_cell.c
@@ -251,10 +251,36 @@
     }
 }
 
+static void
+first_numbers_bound_their_slots (void **state)
+{
+  static const uint32_t sizes[][2]
+      = { { 512, 65536 }, { 7, 100 }, { 8, 8 }, { 1, 3 } };
+  (void)state;
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      struct cell *cell = cell_new ("stock", sizes[i][0]);
+      cell->key_space = sizes[i][1];
+      for (uint32_t s = 0; s < cell->slot_count; s++)
+        {
+          uint32_t first = cell_first_number (cell, s);
+          uint32_t end = cell_first_number (cell, s + 1);
+          assert_true (first < end);
+          assert_int_equal (cell_slot_of_number (cell, first), s);
+          assert_int_equal (cell_slot_of_number (cell, end - 1), s);
+        }
+      assert_int_equal (cell_first_number (cell, 0), 0);
+      assert_int_equal (cell_first_number (cell, cell->slot_count),
+                        cell->key_space);
+      free (cell);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (first_numbers_bound_their_slots),
     cmocka_unit_test (document_is_read_back),
     cmocka_unit_test (malformed_document_is_refused),
     cmocka_unit_test (damaged_document_is_harmless),
