--- a/src/base/log.c
+++ b/src/base/log.c
@@ -113,24 +113,42 @@
     count_dropped ();
 }
 
+static void
+write_event (const struct event_entry *entry, const char *fmt, va_list args)
+{
+  char line[LINE_BYTES];
+  char stamp[STAMP_BYTES];
+  size_t room = sizeof line - 1;
+  format_stamp (stamp);
+  size_t used = clamp (snprintf (line, room, "%s %s %d %s text=\"%s\" ", stamp,
+                                 level_names[entry->level], (int)entry->number,
+                                 entry->name, entry->text),
+                       room);
+  used += clamp (vsnprintf (line + used, room - used, fmt, args), room - used);
+  line[used++] = '\n';
+  write_line (line, used);
+}
+
+static void
+write_entry (const struct event_entry *entry, const char *fmt, ...)
+{
+  va_list args;
+  va_start (args, fmt);
+  write_event (entry, fmt, args);
+  va_end (args);
+}
+
 /* At most once a second.  */
 static void
 tell_dropped (void)
 {
   static uint32_t told_second;
   uint32_t second = (uint32_t)(clock_now_ns () / NS_PER_S);
-  char line[LINE_BYTES];
-  char stamp[STAMP_BYTES];
   if (ck_pr_load_32 (&dropped) == 0
       || ck_pr_fas_32 (&told_second, second) == second)
     return;
-  uint32_t lines = ck_pr_fas_32 (&dropped, 0);
-  format_stamp (stamp);
-  int length = snprintf (line, sizeof line,
-                         "%s warning %d LINES_DROPPED text=\"log lines were "
-                         "dropped\" lines=%u\n",
-                         stamp, (int)EV_LINES_DROPPED, lines);
-  write_line (line, (size_t)length);
+  write_entry (find_entry (EV_LINES_DROPPED), "lines=%u",
+               ck_pr_fas_32 (&dropped, 0));
 }
 
 void
@@ -165,20 +183,10 @@
       count_dropped ();
       return;
     }
-  char line[LINE_BYTES];
-  char stamp[STAMP_BYTES];
-  size_t room = sizeof line - 1;
-  format_stamp (stamp);
-  size_t used = clamp (snprintf (line, room, "%s %s %d %s text=\"%s\" ", stamp,
-                                 level_names[entry->level], (int)ev,
-                                 entry->name, entry->text),
-                       room);
+  if (output == STDOUT_FILENO)
+    tell_dropped ();
   va_list args;
   va_start (args, fmt);
-  used += clamp (vsnprintf (line + used, room - used, fmt, args), room - used);
+  write_event (entry, fmt, args);
   va_end (args);
-  line[used++] = '\n';
-  if (output == STDOUT_FILENO)
-    tell_dropped ();
-  write_line (line, used);
 }
