Compare addresses, and ask for documents, in one place

Four places compared the port and the host of two addresses; spread.c asked in three and compared zones and services in as many.

--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -561,8 +561,7 @@
         }
       return;
     }
-  if (address->port == p->self.address.port
-      && strcmp (address->host, p->self.address.host) == 0)
+  if (settings_address_equal (address, &p->self.address))
     return;
   settings_address_text (address, text);
   peer = g_new0 (struct peer, 1);
--- a/src/mesh/spread.c
+++ b/src/mesh/spread.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "mesh/fetches.h"
+#include "settings/address.h"
 #include <glib.h>
 #include <string.h>
 
@@ -32,6 +33,27 @@
   s->keys = keys;
 }
 
+static bool
+is_near (const struct spread *s, const struct frame_node *node)
+{
+  return strcmp (node->zone, s->settings->zone) == 0;
+}
+
+static bool
+is_colleague (const struct spread *s, const struct frame_node *node)
+{
+  return strcmp (node->service, s->settings->service) == 0;
+}
+
+/* Fetch the document of C from the node at ADDRESS if it is time.  */
+static void
+ask (struct spread *s, const struct fetch_case *c,
+     const struct settings_address *address)
+{
+  if (fetches_ask (s->fetches, c, clock_now_ns ()))
+    nodes_fetch (s->nodes, address, FRAME_CELL);
+}
+
 struct zone_look
 {
   const struct spread *spread;
@@ -44,12 +66,11 @@
 look_at_zone (void *arg, const struct node_view *view)
 {
   struct zone_look *look = arg;
-  const struct settings *own = look->spread->settings;
-  if (strcmp (view->node->zone, own->zone) != 0
-      || strcmp (view->node->service, look->service) != 0)
+  const struct frame_node *n = view->node;
+  if (!is_near (look->spread, n) || strcmp (n->service, look->service) != 0)
     return true;
   look->has_member = true;
-  look->has_earlier |= strcmp (view->node->name, own->name) < 0;
+  look->has_earlier |= strcmp (n->name, look->spread->settings->name) < 0;
   return true;
 }
 
@@ -71,15 +92,14 @@
     .service = node->service,
     .have = owners_serial (s->owners, node->service),
     .serial = serial,
-    .is_near = strcmp (node->zone, s->settings->zone) == 0,
+    .is_near = is_near (s, node),
   };
   if (serial <= c.have)
     return;
-  if (strcmp (node->service, s->settings->service) == 0)
+  if (is_colleague (s, node))
     keys_heard (s->keys, serial);
-  c.is_first = c.is_near || is_first_of_zone (s, node->service);
-  if (fetches_ask (s->fetches, &c, clock_now_ns ()))
-    nodes_fetch (s->nodes, &node->address, FRAME_CELL);
+  c.is_first = !c.is_near && is_first_of_zone (s, node->service);
+  ask (s, &c, &node->address);
 }
 
 static bool
@@ -109,8 +129,7 @@
     .serial = state->cell_serial,
     .is_first = true,
   };
-  if (fetches_ask (s->fetches, &c, clock_now_ns ()))
-    nodes_fetch (s->nodes, &node->address, FRAME_CELL);
+  ask (s, &c, &node->address);
 }
 
 void
@@ -138,17 +157,14 @@
 {
   struct holder_look *look = arg;
   const struct frame_node *n = view->node;
-  bool is_from = n->address.port == look->from->port
-                 && strcmp (n->address.host, look->from->host) == 0;
-  bool is_near = strcmp (n->zone, look->spread->settings->zone) == 0
-                 && strcmp (n->service, look->spread->settings->service) == 0
-                 && view->state->cell_serial >= look->serial;
-  if (is_from || is_near)
+  bool near = is_near (look->spread, n) && is_colleague (look->spread, n)
+              && view->state->cell_serial >= look->serial;
+  if (near || settings_address_equal (&n->address, look->from))
     {
       look->best = n->address;
       look->found = true;
     }
-  return !is_near;
+  return !near;
 }
 
 bool
@@ -165,7 +181,6 @@
   nodes_visit (s->nodes, look_for_holder, &look);
   if (!look.found)
     return false;
-  if (fetches_ask (s->fetches, &c, clock_now_ns ()))
-    nodes_fetch (s->nodes, &look.best, FRAME_CELL);
+  ask (s, &c, &look.best);
   return true;
 }
--- a/src/mesh/target_state.c
+++ b/src/mesh/target_state.c
@@ -1,6 +1,7 @@
 #include "mesh/target_state.h"
 
 #include "base/clock.h"
+#include "settings/address.h"
 #include <string.h>
 
 enum
@@ -12,8 +13,8 @@
 is_ours (const struct target_report *r, const char *service,
          const struct settings_address *address)
 {
-  return strcmp (r->service, service) == 0 && r->address.port == address->port
-         && strcmp (r->address.host, address->host) == 0;
+  return strcmp (r->service, service) == 0
+         && settings_address_equal (&r->address, address);
 }
 
 static bool
--- a/src/own/agent_plan.c
+++ b/src/own/agent_plan.c
@@ -3,6 +3,7 @@
    lost against another needs no repair: it is read and planned again.  */
 
 #include "own/agent_state.h"
+#include "settings/address.h"
 
 #include <string.h>
 
@@ -38,8 +39,7 @@
     {
       const struct cell_member *m = &cell->members[i];
       if (strcmp (m->place, a->me.place) == 0
-          && m->peers.port == a->me.peers.port
-          && strcmp (m->peers.host, a->me.peers.host) == 0)
+          && settings_address_equal (&m->peers, &a->me.peers))
         return m->incarnation;
     }
   return 0;
--- a/src/settings/address.c
+++ b/src/settings/address.c
@@ -49,6 +49,13 @@
   return ADDRESS_GOOD;
 }
 
+bool
+settings_address_equal (const struct settings_address *a,
+                        const struct settings_address *b)
+{
+  return a->port == b->port && strcmp (a->host, b->host) == 0;
+}
+
 enum status
 settings_sockaddr (const struct settings_address *a,
                    struct sockaddr_storage *to)
--- a/src/settings/address.h
+++ b/src/settings/address.h
@@ -24,6 +24,10 @@
 enum address_fault settings_address_read (const char *text,
                                           struct settings_address *a);
 
+/* Whether A and B, as settings_address_read writes them, are the same.  */
+bool settings_address_equal (const struct settings_address *a,
+                             const struct settings_address *b);
+
 /* The socket address of A.  STATUS_INVALID when its host is not numeric.  */
 enum status settings_sockaddr (const struct settings_address *a,
                                struct sockaddr_storage *to);
