Remove what the mesh never calls

router_forget, http_server_busy with its count, and watcher_stop had no caller; two functions are of their own files only. The watcher's thread lasts as long as the process, as before.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -21,7 +21,6 @@
   http_handler *handler;
   void *arg;
   GQueue connections;
-  unsigned busy;
   bool draining;
 };
 
@@ -172,7 +171,6 @@
   r->x.method = http_method_str ((enum http_method)p->method);
   g_queue_push_tail (&c->requests, r);
   c->reading = NULL;
-  c->server->busy++;
   if (!r->keep_alive)
     c->ending = true;
   /* The handler runs after the parser has returned: it may end the
@@ -294,7 +292,6 @@
     r->keep_alive = false;
   r->answer = format_answer (r, !r->keep_alive, status, head, body, length);
   r->x.on_gone = NULL;
-  c->server->busy--;
   flush_answers (c);
 }
 
@@ -314,8 +311,6 @@
   struct request *r;
   while ((r = g_queue_pop_head (&c->requests)) != NULL)
     {
-      if (r->answer == NULL)
-        c->server->busy--;
       if (r->x.on_gone != NULL)
         r->x.on_gone (&r->x);
       request_free (r);
@@ -522,12 +517,6 @@
     }
 }
 
-unsigned
-http_server_busy (const struct http_server *s)
-{
-  return s->busy;
-}
-
 static void
 on_listener_closed (uv_handle_t *handle)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -59,9 +59,6 @@
 /* Close connections that have no request in work.  */
 void http_server_close_idle (struct http_server *s);
 
-/* Requests read and not yet answered.  */
-unsigned http_server_busy (const struct http_server *s);
-
 /* Accept no more and cut all connections; their callers are told as gone.  The
    server is freed by the loop.  */
 void http_server_close (struct http_server *s);
--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -98,8 +98,9 @@
   return g_hash_table_lookup (l->entries, GUINT_TO_POINTER (id));
 }
 
-int64_t
-lineup_service_ns (const struct lineup *l, uint32_t kind)
+/* How long one of KIND runs; 0 for a kind that was never seen.  */
+static int64_t
+service_ns (const struct lineup *l, uint32_t kind)
 {
   const struct kind *k
       = g_hash_table_lookup (l->kinds, GUINT_TO_POINTER (kind));
@@ -109,7 +110,7 @@
 static int64_t
 expected_service_ns (const struct lineup *l, uint32_t kind)
 {
-  int64_t known = lineup_service_ns (l, kind);
+  int64_t known = service_ns (l, kind);
   return known > 0 ? known : FIRST_SERVICE_NS;
 }
 
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -89,9 +89,7 @@
 uint32_t lineup_running (const struct lineup *l);
 uint32_t lineup_waiting (const struct lineup *l);
 
-/* How long a request of the middle priority would wait, and how long one of
-   KIND runs; 0 for a kind that was never seen.  */
+/* How long a request of the middle priority would wait.  */
 int64_t lineup_wait_ns (const struct lineup *l);
-int64_t lineup_service_ns (const struct lineup *l, uint32_t kind);
 
 #endif
--- a/src/mesh/balance.c
+++ b/src/mesh/balance.c
@@ -105,9 +105,9 @@
   return (int64_t)(expected_ns * (pace == NULL ? 1 : *pace));
 }
 
-int64_t
-balance_expect (const struct paces *p, const struct candidate *c,
-                uint32_t kind)
+/* The time that the candidate C is expected to need, waiting included.  */
+static int64_t
+expect (const struct paces *p, const struct candidate *c, uint32_t kind)
 {
   double service_ns = (double)paces_expect (p, c->name, kind);
   uint32_t slots = c->load.slots > 0 ? c->load.slots : 1;
@@ -136,7 +136,7 @@
       const struct candidate *c = &list[i];
       if (!c->load.open || c->tried)
         continue;
-      int64_t expected_ns = balance_expect (p, c, kind);
+      int64_t expected_ns = expect (p, c, kind);
       if (expected_ns < best_ns)
         {
           best = (int)i;
--- a/src/mesh/balance.h
+++ b/src/mesh/balance.h
@@ -54,8 +54,4 @@
 int balance_pick (const struct paces *p, const struct candidate *list,
                   unsigned count, uint32_t kind, int64_t wanted_ns);
 
-/* The time that the candidate C is expected to need, waiting included.  */
-int64_t balance_expect (const struct paces *p, const struct candidate *c,
-                        uint32_t kind);
-
 #endif
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -685,12 +685,6 @@
   return r->routes;
 }
 
-void
-router_forget (struct router *r, const char *name)
-{
-  paces_forget (r->paces, name);
-}
-
 void
 router_relax (struct router *r)
 {
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -45,9 +45,6 @@
 /* Take a caller's request.  A http_handler.  */
 void router_take (void *router, struct http_exchange *x);
 
-/* The target NAME is another run.  */
-void router_forget (struct router *r, const char *name);
-
 /* Called each BALANCE_RELAX_MS.  */
 void router_relax (struct router *r);
 
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -21,7 +21,6 @@
   struct inbox *to;
   int64_t seen; /* revision of the store */
   uint32_t pause_ms;
-  int stopping;
   uint32_t well;
   pthread_t thread;
 };
@@ -88,12 +87,15 @@
   return true;
 }
 
+/* A thread that lasts as long as its process: a wait of the store would hold
+   up the end.  */
 static void *
 run (void *arg)
 {
+  static const int never = 0;
   struct watcher *w = arg;
   bool known = false;
-  while (ck_pr_load_int (&w->stopping) == 0)
+  while (true)
     {
       if (!known)
         known = read_key (w);
@@ -103,7 +105,7 @@
           continue;
         }
       enum status s = w->store->ops->watch (w->store, w->key, w->seen,
-                                            on_change, w, &w->stopping);
+                                            on_change, w, &never);
       if (s != STATUS_OK)
         log_event (EV_WATCH_LOST, "key=%s seen=%" PRId64 " cause=\"%s\"",
                    w->key, w->seen, status_message ());
@@ -136,15 +138,3 @@
 {
   return ck_pr_load_32 (&w->well) != 0;
 }
-
-void
-watcher_stop (struct watcher *w)
-{
-  if (w == NULL)
-    return;
-  ck_pr_store_int (&w->stopping, 1);
-  pthread_join (w->thread, NULL);
-  w->store->ops->free (w->store);
-  g_free (w->key);
-  g_free (w);
-}
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -27,9 +27,6 @@
 /* Whether the store answered the last call.  Any thread.  */
 bool watcher_is_well (const struct watcher *w);
 
-/* End the thread and free W, which may be NULL.  */
-void watcher_stop (struct watcher *w);
-
 void watched_free (struct watched *w);
 
 #endif
