--- a/test/unit/test_load.c
+++ b/test/unit/test_load.c
@@ -19,6 +19,7 @@
 #include <unistd.h>
 
 #include "base/histogram.h"
+#include "lib/ports.h"
 #include "load/drive.h"
 #include "load/options.h"
 #include "load/workload.h"
@@ -30,13 +31,6 @@
   BODY_BYTES = 1024
 };
 
-static unsigned
-port (unsigned offset)
-{
-  const char *base = getenv ("CB_PORT_BASE");
-  return (base == NULL ? 20000 : (unsigned)strtoul (base, NULL, 10)) + offset;
-}
-
 /* Run a load with ARGUMENTS, split at spaces; its report as JSON.  */
 static json_t *
 run_load (const char *arguments)
@@ -240,11 +234,11 @@
   struct server s = { .refused = 10 };
   char arguments[256];
   (void)state;
-  start (&s, port (0));
+  start (&s, test_port (0));
   snprintf (arguments, sizeof arguments,
             "--node 127.0.0.1:%u --service s --rate 500 --seconds 1 "
             "--keys 20 --write-share 50",
-            port (0));
+            test_port (0));
   json_t *report = run_load (arguments);
   MHD_stop_daemon (s.daemon);
   long sent = number (report, "requests", NULL);
@@ -265,10 +259,10 @@
   struct server s = { .crossed = 7 };
   char arguments[256];
   (void)state;
-  start (&s, port (1));
+  start (&s, test_port (1));
   snprintf (arguments, sizeof arguments,
             "--node 127.0.0.1:%u --service s --workers 4 --seconds 0.2",
-            port (1));
+            test_port (1));
   json_t *report = run_load (arguments);
   MHD_stop_daemon (s.daemon);
   assert_true (s.requests >= 7);
@@ -316,7 +310,7 @@
 {
   struct closer c = { .requests = 0 };
   struct sockaddr_in at
-      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port (2)) };
+      = { .sin_family = AF_INET, .sin_port = htons (test_port (2)) };
   pthread_t thread;
   char arguments[256];
   int on = 1;
@@ -330,7 +324,7 @@
   snprintf (arguments, sizeof arguments,
             "--node 127.0.0.1:%u --service s --workers 1 --seconds 0.2 "
             "--write-share 100",
-            port (2));
+            test_port (2));
   json_t *report = run_load (arguments);
   shutdown (c.listener, SHUT_RDWR);
   pthread_join (thread, NULL);
@@ -348,7 +342,7 @@
   (void)state;
   snprintf (arguments, sizeof arguments,
             "--node 127.0.0.1:%u --service s --rate 100 --seconds 0.1",
-            port (3));
+            test_port (3));
   json_t *report = run_load (arguments);
   assert_true (number (report, "outcome", "unsent") > 0);
   assert_int_equal (number (report, "outcome", "unsent"),
--- a/test/unit/test_report.c
+++ b/test/unit/test_report.c
@@ -14,13 +14,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/ports.h"
 #include "lib/script.h"
 #include "report/burn.h"
 #include "report/fetch.h"
 
 enum
 {
-  PORT_BASE_DEFAULT = 20000,
   PORT_OFFSET = 931,
   URL_BYTES = 64,
   TIMEOUT_MS = 30000
@@ -102,21 +102,19 @@
 static void
 fetch_over_http (void **state)
 {
-  const char *base = getenv ("CB_PORT_BASE");
-  long port = base != NULL ? strtol (base, NULL, 10) : PORT_BASE_DEFAULT;
+  uint16_t port = test_port (PORT_OFFSET);
   char url[URL_BYTES];
   char *body;
   (void)state;
-  port += PORT_OFFSET;
   struct MHD_Daemon *daemon
       = MHD_start_daemon (MHD_USE_INTERNAL_POLLING_THREAD, (uint16_t)port,
                           NULL, NULL, answer, NULL, MHD_OPTION_END);
   assert_non_null (daemon);
-  snprintf (url, sizeof url, "http://127.0.0.1:%ld/burn", port);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/burn", port);
   assert_int_equal (fetch_url (url, TIMEOUT_MS, &body), STATUS_OK);
   assert_string_equal (body, "counts");
   free (body);
-  snprintf (url, sizeof url, "http://127.0.0.1:%ld/other", port);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/other", port);
   assert_int_equal (fetch_url (url, TIMEOUT_MS, &body), STATUS_UNAVAILABLE);
   assert_null (body);
   MHD_stop_daemon (daemon);
--- a/test/unit/test_standin_relay.c
+++ b/test/unit/test_standin_relay.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "lib/ports.h"
 #include "lib/standin_http.h"
 #include "lib/standin_relay.h"
 
@@ -40,9 +41,8 @@
 static void
 address_text (char text[ADDRESS_BYTES], int offset)
 {
-  const char *base = getenv ("CB_PORT_BASE");
-  long port = strtol (base == NULL ? "20000" : base, NULL, 10);
-  snprintf (text, ADDRESS_BYTES, "127.0.0.1:%ld", port + PORT_OFFSET + offset);
+  snprintf (text, ADDRESS_BYTES, "127.0.0.1:%u",
+            (unsigned)test_port (PORT_OFFSET + (unsigned)offset));
 }
 
 static int
--- a/test/unit/test_store.c
+++ b/test/unit/test_store.c
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "lib/ports.h"
 #include "lib/standin_etcd.h"
 #include "store/etcd.h"
 
@@ -37,11 +38,9 @@
 };
 
 static uint16_t
-port (int offset)
+port (unsigned offset)
 {
-  const char *base = getenv ("CB_PORT_BASE");
-  return (uint16_t)(strtol (base == NULL ? "20000" : base, NULL, 10)
-                    + PORT_OFFSET + offset);
+  return test_port (PORT_OFFSET + offset);
 }
 
 static void
--- a/test/unit/test_store_writers.c
+++ b/test/unit/test_store_writers.c
@@ -19,6 +19,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "lib/ports.h"
 #include "lib/standin_etcd.h"
 #include "store/etcd.h"
 
@@ -50,14 +51,6 @@
 
 static int running;
 
-static uint16_t
-port (void)
-{
-  const char *base = getenv ("CB_PORT_BASE");
-  return (uint16_t)(strtol (base == NULL ? "20000" : base, NULL, 10)
-                    + PORT_OFFSET);
-}
-
 /* Append ID to the value of the key; STATUS_CONFLICT when another came first
    or the value could not be read.  */
 static enum status
@@ -176,7 +169,7 @@
 static void
 outcomes_told_are_true (void **state)
 {
-  struct settings_address address = { "127.0.0.1", port () };
+  struct settings_address address = { "127.0.0.1", test_port (PORT_OFFSET) };
   char listen[SETTINGS_HOST_BYTES + 8];
   struct writer writers[WRITERS] = { 0 };
   (void)state;
