--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -10,8 +10,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/ports.h"
+#include "lib/standin_http.h"
 #include "mesh/frame.h"
 #include "platform.h"
+#include "store/store.h"
 
 #define PATH "/-/instances/i-1/heartbeat"
 #define REST                                                                  \
@@ -224,6 +227,64 @@
   g_string_free (out, TRUE);
 }
 
+/* A list of two pages; the one item of the first cannot be read.  */
+
+enum
+{
+  LIST_PORT = 960 /* above the base */
+};
+
+static unsigned pages;
+
+static enum standin_next
+serve_page (void *arg, struct standin_call *call)
+{
+  static const char first[]
+      = "{\"items\":[{\"key\":\"p/a\"}],\"has_more\":true,\"at\":5}";
+  static const char second[]
+      = "{\"items\":[{\"key\":\"p/b\",\"value\":\"eA==\","
+        "\"revision\":2}],\"has_more\":false,\"at\":5}";
+  (void)arg;
+  /* An endless list would end here.  */
+  const char *page = strstr (call->uri, "after=p%2Fa") != NULL || pages > 8
+                         ? second
+                         : first;
+  pages++;
+  standin_call_answer (call, 200, strdup (page));
+  return STANDIN_ANSWER;
+}
+
+static bool
+collect_key (void *arg, const char *key, const struct store_value *value)
+{
+  GString *seen = arg;
+  g_string_append_printf (seen, "%s=%.*s ", key, (int)value->length,
+                          value->data);
+  return true;
+}
+
+static void
+an_item_that_cannot_be_read_holds_up_no_other (void **state)
+{
+  static const struct standin_ops ops = { .handle = serve_page };
+  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
+  char listen[32];
+  (void)state;
+  settings.stores[0].port = test_port (LIST_PORT);
+  strcpy (settings.stores[0].host, "127.0.0.1");
+  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
+  struct standin_http *http = standin_http_new (listen, 1, &ops, NULL);
+  assert_non_null (http);
+  struct store *st = platform_open_store (&settings);
+  GString *seen = g_string_new (NULL);
+  assert_int_equal (st->ops->list (st, "p/", collect_key, seen), STATUS_OK);
+  assert_string_equal (seen->str, "p/b=x ");
+  assert_int_equal (pages, 2);
+  g_string_free (seen, TRUE);
+  st->ops->free (st);
+  standin_http_free (http);
+}
+
 int
 main (void)
 {
@@ -236,6 +297,7 @@
     cmocka_unit_test (bounds_are_applied_or_refused),
     cmocka_unit_test (a_request_crosses_between_nodes),
     cmocka_unit_test (a_cut_frame_is_refused),
+    cmocka_unit_test (an_item_that_cannot_be_read_holds_up_no_other),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
