Name what stood without a name in keys and leases

The pause between looks at a move was a bare 10 ms; the consent of a first guardian for a second one was called proxy in its fields and stand-in elsewhere; slots that need no owner are not put in order. No change of behaviour.

--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -21,6 +21,9 @@
 #define HANDOVER_WAIT_NS (60 * NS_PER_MS)
 /* Longest sleep: lets a lease that was renewed extend grants in time.  */
 #define ROUND_MS 200
+/* Pause between looks at whether what a move waits for has ended: short
+   against the work that it waits for.  */
+#define MOVE_LOOK_MS 10
 /* Weight of a new look in the load that the agent is told: a mean over some
    three seconds.  The number of requests at a target of ten slots varies by a
    quarter of them from look to look, and a tenth moves keys.  */
@@ -116,8 +119,8 @@
     grants_renew (k->grants, k->lease_ns, now_ns);
   if (next_ns != AGENT_FOREVER_NS && (next_ns - now_ns) / NS_PER_MS < wait_ms)
     wait_ms = (next_ns - now_ns) / NS_PER_MS + 1;
-  if (k->move != 0 && !k->move_reported && wait_ms > 10)
-    wait_ms = 10;
+  if (k->move != 0 && !k->move_reported && wait_ms > MOVE_LOOK_MS)
+    wait_ms = MOVE_LOOK_MS;
   uv_timer_start (&k->timer, on_timer, wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
 }
 
--- a/src/own/lease.c
+++ b/src/own/lease.c
@@ -156,10 +156,10 @@
       kept.consented = false;
       kept.consent_epoch = 0;
     }
-  if (p->proxy_ward != 0
-      && guardian_epoch (cell, p->proxy_ward) != p->proxy_epoch)
+  if (p->stood_for != 0
+      && guardian_epoch (cell, p->stood_for) != p->stood_for_epoch)
     {
-      kept.proxy_ward = 0;
+      kept.stood_for = 0;
       kept.least_serial = cell->serial;
     }
   return kept;
@@ -210,7 +210,7 @@
 {
   struct lease_promise *p = lease_guard_find (g, ward);
   if (p == NULL || p->epoch != epoch || p->decided || p->consent != 0
-      || p->proxy_ward != 0 || serial < p->least_serial)
+      || p->stood_for != 0 || serial < p->least_serial)
     return false;
   if (p->until_ns < now_ns + g->promise_ns)
     p->until_ns = now_ns + g->promise_ns;
@@ -245,16 +245,16 @@
                         uint32_t ward, uint32_t epoch, uint32_t round,
                         int64_t now_ns)
 {
-  bool other = p->proxy_ward != 0
-               && (p->proxy_ward != ward || p->proxy_epoch != epoch);
+  bool other = p->stood_for != 0
+               && (p->stood_for != ward || p->stood_for_epoch != epoch);
   if (p->is_second || round == 0 || other
       || !lease_promise_lapsed (p, now_ns - promise_ns))
     return false;
-  if (p->proxy_ward == 0 || round > p->proxy_round)
-    p->proxy_round = round;
-  p->proxy_ward = ward;
-  p->proxy_epoch = epoch;
-  return round == p->proxy_round;
+  if (p->stood_for == 0 || round > p->stood_for_round)
+    p->stood_for_round = round;
+  p->stood_for = ward;
+  p->stood_for_epoch = epoch;
+  return round == p->stood_for_round;
 }
 
 void
@@ -301,9 +301,9 @@
   for (uint32_t i = 0; i < g->count; i++)
     {
       struct lease_promise *p = &g->wards[i];
-      if (p->proxy_ward == ward && p->proxy_epoch == epoch
-          && p->proxy_round == round)
-        p->proxy_ward = 0;
+      if (p->stood_for == ward && p->stood_for_epoch == epoch
+          && p->stood_for_round == round)
+        p->stood_for = 0;
     }
 }
 
--- a/src/own/lease.h
+++ b/src/own/lease.h
@@ -100,11 +100,11 @@
   uint32_t consent_epoch; /* the guardian epoch of the second guardian, when
                              its own first one consented for it; else 0 */
   /* Of a first guardian that consented for this ward, as the second one of
-     PROXY_WARD (0: has not): it promises this ward nothing.  */
-  uint32_t proxy_ward;
-  uint32_t proxy_epoch;
-  uint32_t proxy_round;
-  /* The document that removed PROXY_WARD: this ward must know it before it
+     STOOD_FOR (0: has not): it promises this ward nothing.  */
+  uint32_t stood_for;
+  uint32_t stood_for_epoch;
+  uint32_t stood_for_round;
+  /* The document that removed STOOD_FOR: this ward must know it before it
      gets a promise, or it might still grant to that one.  */
   uint32_t least_serial;
   /* Of a second guardian: the round that it consented to, 0: none.  */
--- a/src/own/place.c
+++ b/src/own/place.c
@@ -244,6 +244,8 @@
   uint32_t owners[CELL_SLOTS_MAX] = { 0 };
   uint32_t count = cell_slots_owned (cell, 0);
   member_id id = 0;
+  if (count == 0)
+    return give_pins (cell);
   uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   copy_owners (cell, owners);
