Divide what is saved up for repeats among all nodes of a large site

Cause: the platform bounds the repeats of all nodes together; its slack was divided by 16, whatever the number of nodes. With 102 nodes (a grown site with scale_out) the parts add up to 1,122 where the slack is 180.

Change: with more than 16 nodes each saves up its part of them, one repeat at the least. Small sites keep what they had.

--- a/src/limit/retry.c
+++ b/src/limit/retry.c
@@ -42,6 +42,22 @@
     b->hundredths = most;
 }
 
+void
+retry_set_stored (struct retry_budget *b, uint32_t stored_max)
+{
+  b->config.stored_max = stored_max;
+  save_up (b, 0);
+}
+
+uint32_t
+retry_stored_share (uint32_t stored, uint32_t nodes)
+{
+  if (nodes <= RETRY_SHARERS || stored == 0)
+    return stored;
+  uint32_t share = (uint32_t)((uint64_t)stored * RETRY_SHARERS / nodes);
+  return share > 0 ? share : 1;
+}
+
 void
 retry_earn (struct retry_budget *b)
 {
--- a/src/limit/retry.h
+++ b/src/limit/retry.h
@@ -20,6 +20,13 @@
   int64_t backoff_max_ns;
 };
 
+enum
+{
+  /* Nodes among which the stored part of a budget is divided at least, so that
+     a node more or less changes nothing in a small site.  */
+  RETRY_SHARERS = 16
+};
+
 struct retry_budget
 {
   struct retry_config config;
@@ -74,6 +81,14 @@
 /* Start with nothing saved up.  */
 void retry_init (struct retry_budget *b, const struct retry_config *config);
 
+/* From now on save up no more than STORED_MAX whole retries.  */
+void retry_set_stored (struct retry_budget *b, uint32_t stored_max);
+
+/* The part of a budget that one of NODES may save up, when one of the first
+   RETRY_SHARERS may save up STORED: the parts add up, but for a whole retry
+   that each has at least.  */
+uint32_t retry_stored_share (uint32_t stored, uint32_t nodes);
+
 /* A request was sent for the first time.  */
 void retry_earn (struct retry_budget *b);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -465,24 +465,24 @@
 }
 
 static void
-choose_watch_wait (struct mesh *m)
+choose_watch_wait (struct mesh *m, const struct before_me *b)
 {
-  struct before_me b = { m->settings->name, 0, 1 };
-  nodes_visit (m->nodes, count_before, &b);
-  unsigned far_ms
-      = b.nodes <= FAR_NODES ? FAR_WAIT_MS : FAR_WAIT_MS * b.nodes / FAR_NODES;
+  unsigned far_ms = b->nodes <= FAR_NODES ? FAR_WAIT_MS
+                                          : FAR_WAIT_MS * b->nodes / FAR_NODES;
   m->dialect->set_watch_wait (
-      m->watched, b.count < CLOSE_WATCHERS ? CLOSE_WAIT_MS
-                                           : MIN (far_ms, FAR_WAIT_MOST_MS));
+      m->watched, b->count < CLOSE_WATCHERS ? CLOSE_WAIT_MS
+                                            : MIN (far_ms, FAR_WAIT_MOST_MS));
 }
 
 static void
 on_load_timer (uv_timer_t *timer)
 {
   struct mesh *m = timer->data;
-  choose_watch_wait (m);
+  struct before_me b = { m->settings->name, 0, 1 };
+  nodes_visit (m->nodes, count_before, &b);
+  choose_watch_wait (m, &b);
   spread_look_again (m->spread);
-  router_relax (m->router);
+  router_relax (m->router, b.nodes);
   struct target_load load = egress_read_load (m->egress, clock_now_ns ());
   uint32_t slots = load.slots > 0 ? load.slots : 1;
   keys_set_load (m->keys, (load.running + load.waiting) * 100 / slots);
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -44,6 +44,7 @@
   GHashTable *budgets; /* struct retry_budget by service */
   struct histogram *latency[OUTCOME_COUNT]; /* microseconds */
   GQueue pending; /* struct pending without an answer */
+  uint32_t nodes; /* that share the retry budgets, this one included */
   bool closed;
 };
 
@@ -260,7 +261,7 @@
       struct retry_config config;
       retry_config_defaults (&config);
       config.ratio_pct = (uint32_t)(s->retry_ratio_pct * BUDGET_SHARE);
-      config.stored_max = s->retry_stored;
+      config.stored_max = retry_stored_share (s->retry_stored, r->nodes);
       b = g_new0 (struct retry_budget, 1);
       retry_init (b, &config);
       g_hash_table_insert (r->budgets, g_strdup (service), b);
@@ -686,9 +687,18 @@
 }
 
 void
-router_relax (struct router *r)
+router_relax (struct router *r, uint32_t nodes)
 {
+  GHashTableIter iter;
+  gpointer budget;
   paces_relax (r->paces);
+  if (nodes == r->nodes)
+    return;
+  r->nodes = nodes;
+  g_hash_table_iter_init (&iter, r->budgets);
+  while (g_hash_table_iter_next (&iter, NULL, &budget))
+    retry_set_stored (
+        budget, retry_stored_share (r->parts.settings->retry_stored, nodes));
 }
 
 unsigned
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -45,8 +45,8 @@
 /* Take a caller's request.  A http_handler.  */
 void router_take (void *router, struct http_exchange *x);
 
-/* Called each BALANCE_RELAX_MS.  */
-void router_relax (struct router *r);
+/* Called each BALANCE_RELAX_MS; NODES answer, this one included.  */
+void router_relax (struct router *r, uint32_t nodes);
 
 /* Requests that have no answer yet.  */
 unsigned router_busy (const struct router *r);
--- a/test/unit/test_limit_target.c
+++ b/test/unit/test_limit_target.c
@@ -208,6 +208,12 @@
     run_decide (x, count, words, out);
   else if (strcmp (verb, "return") == 0)
     retry_return (&x->budget);
+  else if (strcmp (verb, "stored") == 0 && count > 1)
+    retry_set_stored (&x->budget, (uint32_t)script_word_number (words[1]));
+  else if (strcmp (verb, "share") == 0 && count > 2)
+    fprintf (out, "%u\n",
+             retry_stored_share ((uint32_t)script_word_number (words[1]),
+                                 (uint32_t)script_word_number (words[2])));
   else if (strcmp (verb, "left") == 0)
     fprintf (out, "%u\n", retry_left (&x->budget));
   else
