History check: a restarted process may have no document yet

Change: the checker counts processes by their STARTED lines. Revision 0 is allowed only before a process has logged any other; every other revision still must not decrease, across restarts too. A node logs STARTED before its services start, so that no line of a new process precedes it.

--- a/src/route/node.c
+++ b/src/route/node.c
@@ -72,12 +72,12 @@
             const sigset_t *signals)
 {
   enum status status = register_services (k, s, m);
+  log_event (EV_STARTED, "node=%s service=%s zone=%s", s->name, s->service,
+             s->zone);
   if (status == STATUS_OK)
     status = kernel_start (k);
   if (status != STATUS_OK)
     return status;
-  log_event (EV_STARTED, "node=%s service=%s zone=%s", s->name, s->service,
-             s->zone);
   wait_for_stop (k, signals);
   log_event (EV_STOPPING, "node=%s", s->name);
   kernel_stop (k);
--- a/test/lib/history.c
+++ b/test/lib/history.c
@@ -47,6 +47,7 @@
   h->last_ns_by_target
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   h->answers_by_token = g_hash_table_new (g_str_hash, g_str_equal);
+  h->processes_by_log = g_hash_table_new (NULL, NULL);
   return h;
 }
 
@@ -62,6 +63,7 @@
   g_hash_table_destroy (h->unended_runs);
   g_hash_table_destroy (h->last_ns_by_target);
   g_hash_table_destroy (h->answers_by_token);
+  g_hash_table_destroy (h->processes_by_log);
   g_free (h);
 }
 
@@ -360,13 +362,36 @@
   g_hash_table_destroy (highest);
 }
 
-/* Revisions must not decrease per event type and log file.  */
+/* Whether M has the revision 0, "no document", and its process has logged no
+   other before.  A process that starts while the store is down has none.  */
+static bool
+is_before_first_document (const struct history *h, guint index)
+{
+  const struct history_log_value *m
+      = &g_array_index (h->revisions, struct history_log_value, index);
+  if (m->value != 0)
+    return false;
+  for (guint i = 0; i < index; i++)
+    {
+      const struct history_log_value *other
+          = &g_array_index (h->revisions, struct history_log_value, i);
+      if (other->location.file == m->location.file
+          && other->process == m->process && other->value > 0)
+        return false;
+    }
+  return true;
+}
+
+/* Revisions must not decrease per event type and log file, also when the node
+   was restarted.  */
 static void
 check_revisions (struct report *r, const struct history *h)
 {
   GHashTable *highest = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < h->revisions->len; i++)
     {
+      if (is_before_first_document (h, i))
+        continue;
       struct history_log_value *m
           = &g_array_index (h->revisions, struct history_log_value, i);
       char *name = g_strdup_printf ("%s %s", m->location.file, m->event);
--- a/test/lib/history.h
+++ b/test/lib/history.h
@@ -22,7 +22,8 @@
    - not-run: a request that was reported to its caller as not run did run;
    - acknowledged: a lower serial was acknowledged or observed after a higher
      one was acknowledged;
-   - revision: a node logged a lower revision after a higher one;
+   - revision: a node logged a lower revision after a higher one; 0 stands for
+     no document, which a process may log before its first one;
    - written-twice: two members logged that they wrote the same revision;
    - incarnation: two members joined with the same incarnation;
    - malformed: a line cannot be parsed.  */
--- a/test/lib/history_data.h
+++ b/test/lib/history_data.h
@@ -60,6 +60,7 @@
   const char *event;
   const char *member;
   int64_t value;
+  unsigned process; /* how many processes have started in this log so far */
 };
 
 struct history
@@ -74,6 +75,7 @@
   GHashTable *unended_runs; /* "target id" -> index + 1 of a run without end */
   GHashTable *last_ns_by_target; /* target -> int64_t, of its last entry */
   GHashTable *answers_by_token;  /* token -> index + 1 of the answer */
+  GHashTable *processes_by_log;  /* file -> number of processes started */
 };
 
 /* Parse LINE, found at LOCATION, into H.  */
--- a/test/lib/history_read.c
+++ b/test/lib/history_read.c
@@ -209,8 +209,13 @@
   char number[EVENT_BYTES];
   if (sscanf (line, "%*s %*s %63[0-9] %63[A-Z_]", number, event) != 2)
     return;
-  struct history_log_value mark
-      = { location, g_intern_string (event), field_text (line, "member"), 0 };
+  unsigned process = GPOINTER_TO_UINT (
+      g_hash_table_lookup (h->processes_by_log, location.file));
+  if (strcmp (event, "STARTED") == 0)
+    g_hash_table_insert (h->processes_by_log, (gpointer)location.file,
+                         GUINT_TO_POINTER (++process));
+  struct history_log_value mark = { location, g_intern_string (event),
+                                    field_text (line, "member"), 0, process };
   mark.value = field_number (line, "revision");
   if (mark.value >= 0)
     g_array_append_val (h->revisions, mark);
