Answer every accepted connection before a node stops

Change: a request counts until its answer is sent, and so does an accepted connection until its first request, for 500 ms at most. The backlog is accepted before the socket is closed; a filter keeps new connections from completing meanwhile.

Not closed: a request that a caller sends on an idle kept connection in the moment in which the node exits.

--- a/src/route/callers.c
+++ b/src/route/callers.c
@@ -8,6 +8,7 @@
 #include <ck_pr.h>
 #include <errno.h>
 #include <glib.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -24,7 +25,12 @@
   RETRY_AFTER_BYTES = 16,
   ERROR_BODY_BYTES = 512,
   BACKLOG = 1024,
-  DRAIN_POLL_US = 1000
+  /* Also the time that the daemon's thread has to count a connection that it
+     has just accepted.  */
+  DRAIN_POLL_US = 10000,
+  /* How long a drain waits for the first request of an accepted
+     connection.  */
+  FIRST_REQUEST_WAIT_MS = 500
 };
 
 struct callers
@@ -36,16 +42,25 @@
   struct MHD_Daemon *daemon;
   uint64_t id_base; /* random, so that the request ids of two runs differ */
   uint64_t id_count;
-  uint32_t routing_count; /* exchanges in the router, or on the way there */
+  uint32_t exchange_count; /* requests whose answer is not yet sent */
+  uint32_t fresh_count;    /* connections that have sent no request yet */
+  uint32_t adopted_count;  /* of these, not yet taken over by the daemon */
   uint32_t draining;
 };
 
+/* A connection of a caller.  */
+struct caller_socket
+{
+  bool has_sent; /* its first request has begun */
+};
+
 /* One request of a caller and its answer.  */
 struct exchange
 {
   struct callers *callers;
   struct MHD_Connection *connection;
-  char *uri; /* undecoded path and query string */
+  bool counted; /* in exchange_count */
+  char *uri;    /* undecoded path and query string */
   char *body;
   size_t body_length;
   size_t body_capacity;
@@ -56,6 +71,46 @@
   struct call call;
 };
 
+static void
+on_connection (void *arg, struct MHD_Connection *connection,
+               void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+  struct callers *c = arg;
+  struct caller_socket *s = *socket_context;
+  (void)connection;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      *socket_context = s = calloc (1, sizeof *s);
+      if (ck_pr_load_32 (&c->adopted_count) > 0)
+        ck_pr_dec_32 (&c->adopted_count);
+      else
+        ck_pr_inc_32 (&c->fresh_count);
+      if (s == NULL)
+        ck_pr_dec_32 (&c->fresh_count);
+      return;
+    }
+  if (s != NULL && !s->has_sent)
+    ck_pr_dec_32 (&c->fresh_count);
+  free (s);
+}
+
+/* Count X until its answer is sent.  */
+static void
+count_exchange (struct exchange *x)
+{
+  struct callers *c = x->callers;
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      x->connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  struct caller_socket *s = info == NULL ? NULL : info->socket_context;
+  x->counted = true;
+  ck_pr_inc_32 (&c->exchange_count);
+  ck_pr_fence_memory ();
+  if (s == NULL || s->has_sent)
+    return;
+  s->has_sent = true;
+  ck_pr_dec_32 (&c->fresh_count);
+}
+
 static void *
 on_uri (void *arg, const char *uri, struct MHD_Connection *connection)
 {
@@ -71,6 +126,8 @@
 static void
 free_exchange (struct exchange *x)
 {
+  if (x->counted)
+    ck_pr_dec_32 (&x->callers->exchange_count);
   answer_clear (&x->call.answer);
   if (x->call.request != NULL)
     request_unref (x->call.request);
@@ -173,13 +230,9 @@
 {
   struct exchange *x = call->context;
   struct MHD_Connection *connection = x->connection;
-  struct callers *c = x->callers;
   ck_pr_fence_store ();
   ck_pr_store_32 (&x->done, 1);
   MHD_resume_connection (connection);
-  /* The daemon must not be stopped with a suspended connection, so the count
-     is decremented after the connection was resumed.  */
-  ck_pr_dec_32 (&c->routing_count);
 }
 
 static enum MHD_Result
@@ -279,21 +332,6 @@
   return read_headers (x, r, clock_now_ns ());
 }
 
-/* Count X as being routed.  False when the service is draining: the caller
-   must then refuse X.  The count is incremented before the flag is read, so
-   that either callers_drain sees the count or this function sees the flag.  */
-static bool
-enter_routing (struct exchange *x)
-{
-  struct callers *c = x->callers;
-  ck_pr_inc_32 (&c->routing_count);
-  ck_pr_fence_memory ();
-  if (ck_pr_load_32 (&c->draining) == 0)
-    return true;
-  ck_pr_dec_32 (&c->routing_count);
-  return false;
-}
-
 static enum MHD_Result
 route (struct exchange *x, const char *method)
 {
@@ -301,7 +339,7 @@
   const char *error = build_request (x, method, &reason);
   if (error != NULL)
     return answer_refusal (x, OUTCOME_NOT_RUN, reason, error);
-  if (!enter_routing (x))
+  if (ck_pr_load_32 (&x->callers->draining) != 0)
     return answer_refusal (x, OUTCOME_NOT_RUN, REASON_DRAINING,
                            reason_text (REASON_DRAINING));
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
@@ -347,6 +385,7 @@
   if (!x->headers_seen)
     {
       x->headers_seen = true;
+      count_exchange (x);
       if (ck_pr_load_32 (&x->callers->draining) != 0)
         return answer_refusal (x, OUTCOME_NOT_RUN, REASON_DRAINING,
                                reason_text (REASON_DRAINING));
@@ -387,6 +426,7 @@
       flags, listen->port, NULL, NULL, on_request, c, MHD_OPTION_SOCK_ADDR,
       (struct sockaddr *)&address, MHD_OPTION_URI_LOG_CALLBACK, on_uri, c,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, c,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, c,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_MAX_BYTES,
@@ -397,19 +437,60 @@
   return STATUS_OK;
 }
 
+/* Stop listening on FD.  Closing it would reset the connections that wait to
+   be accepted, so they are accepted first, with no new one completed
+   meanwhile.  */
+static void
+stop_listening (struct callers *c, MHD_socket fd)
+{
+  struct sock_filter drop_all = BPF_STMT (BPF_RET | BPF_K, 0);
+  struct sock_fprog filter = { 1, &drop_all };
+  struct sockaddr_storage address;
+  socklen_t length = sizeof address;
+  int s;
+  setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter);
+  while ((s = accept4 (fd, (struct sockaddr *)&address, &length,
+                       SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      ck_pr_inc_32 (&c->fresh_count);
+      ck_pr_inc_32 (&c->adopted_count);
+      /* Closes the socket when it fails, which leaves the connection counted
+         until the drain no longer waits for fresh ones.  */
+      MHD_add_connection (c->daemon, s, (struct sockaddr *)&address, length);
+      length = sizeof address;
+    }
+  close (fd);
+}
+
+/* Whether some caller waits for an answer.  A caller that has connected and
+   sent nothing is waited for until FRESH_UNTIL_NS.  */
+static bool
+has_callers (struct callers *c, int64_t fresh_until_ns, int64_t now_ns)
+{
+  return ck_pr_load_32 (&c->exchange_count) > 0
+         || (ck_pr_load_32 (&c->fresh_count) > 0 && now_ns < fresh_until_ns);
+}
+
 static void
 callers_drain (struct service *self)
 {
   struct callers *c = (struct callers *)self;
+  int64_t now_ns = clock_now_ns ();
+  int64_t fresh_until_ns = now_ns + FIRST_REQUEST_WAIT_MS * NS_PER_MS;
   int64_t until_ns
-      = clock_now_ns () + c->settings->deadline_max_ms * NS_PER_MS + NS_PER_S;
+      = now_ns + c->settings->deadline_max_ms * NS_PER_MS + NS_PER_S;
   ck_pr_store_32 (&c->draining, 1);
   ck_pr_fence_memory ();
   MHD_socket fd = MHD_quiesce_daemon (c->daemon);
   if (fd != MHD_INVALID_SOCKET)
-    close (fd);
-  while (ck_pr_load_32 (&c->routing_count) > 0 && clock_now_ns () < until_ns)
-    usleep (DRAIN_POLL_US);
+    stop_listening (c, fd);
+  do
+    {
+      usleep (DRAIN_POLL_US);
+      now_ns = clock_now_ns ();
+    }
+  while (has_callers (c, fresh_until_ns, now_ns) && now_ns < until_ns);
 }
 
 static void
--- a/test/standin/standin_target.c
+++ b/test/standin/standin_target.c
@@ -2,7 +2,8 @@
    journal of the requests that it ran and fault injection.
 
    An answer is a JSON object of target, id, method, path (with the query),
-   length and xxh64 of the request's body.  GET /health and GET /load are
+   length and xxh64 of the request's body, followed by N spaces for ?pad=N in
+   the query.  GET /health and GET /load are
    probes.  GET /control returns counters; POST /control changes only the
    members that it names:
    {"shed": bool, "drain": bool, "freeze_ms": n, "service_ms": n,
@@ -280,14 +281,17 @@
   const struct run *r = call->state;
   char path[QUOTED_BYTES];
   char id[QUOTED_BYTES / 4];
-  char *text = malloc (ANSWER_BYTES);
+  const char *requested_pad = MHD_lookup_connection_value (
+      call->connection, MHD_GET_ARGUMENT_KIND, "pad");
+  int pad = requested_pad == NULL ? 0 : (int)strtol (requested_pad, NULL, 10);
+  char *text = malloc (ANSWER_BYTES + (size_t)pad);
   standin_json_quote (path, sizeof path, call->uri);
   standin_json_quote (id, sizeof id, r->id);
-  snprintf (text, ANSWER_BYTES,
+  snprintf (text, ANSWER_BYTES + (size_t)pad,
             "{\"target\":\"%s\",\"id\":%s,\"method\":\"%s\",\"path\":%s,"
-            "\"length\":%zu,\"xxh64\":\"%016" PRIx64 "\"}\n",
+            "\"length\":%zu,\"xxh64\":\"%016" PRIx64 "\"}%*s\n",
             name, id, call->method, path, call->body_length,
-            XXH64 (call->body, call->body_length, 0));
+            XXH64 (call->body, call->body_length, 0), pad, "");
   if (t->controls.close_mid > 0)
     {
       t->controls.close_mid--;
