Count the target latency from the caller's first attempt

Cause: a refused caller comes back with what is left of its time, and its return counted as a new request with a whole target latency ahead.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -19,6 +19,9 @@
 /* The part of the time to the soft deadline that the expected latency may use.
    Service times deviate by about a third from their mean.  */
 #define SOFT_DEADLINE_SHARE 0.8
+/* The same under overload: a shorter queue keeps the slots as busy and makes
+   fewer requests late.  */
+#define OVERLOAD_DEADLINE_SHARE 0.7
 /* The part of the time to the deadline that the expected latency may use, for
    requests above the lowest priority.  They start before the others, and
    refusing a lookup wastes the work of the request that it is made for.  */
@@ -31,6 +34,14 @@
 #define HIGHER_PRIORITY_SHARE_MAX 0.75
 /* The part of the expected service time that a short run takes.  */
 #define SHORT_RUN_SHARE 0.7
+/* Time constant of the offered load.  */
+#define LOAD_TIME_CONSTANT_NS (1 * NS_PER_S)
+/* Offered load, as a share of the slots, from which late requests are not
+   queued, because requests that can be answered in time will use every
+   slot.  */
+#define OVERLOAD_MIN 0.9
+/* Numbers of priorities that are told apart in the offered load.  */
+#define PRIORITY_LEVELS 8
 /* While fewer requests than this run, a new one starts even if it is expected
    to end too late.  An estimate may be wrong, and only completed requests
    correct it.  */
@@ -66,6 +77,11 @@
   lineup_id last_id;
   uint32_t lowest_priority; /* numerically highest one offered so far */
   double slowdown;
+  /* Service time of the requests of each priority that were offered in time,
+     admitted or not, decayed with LOAD_TIME_CONSTANT_NS until
+     OFFERED_AT_NS.  */
+  double offered_ns[PRIORITY_LEVELS];
+  int64_t offered_at_ns;
 };
 
 struct lineup *
@@ -134,21 +150,87 @@
   return g_ptr_array_index (l->waiting, i);
 }
 
-/* Total expected service time of the waiting requests that precede R; of all
-   when R is NULL.  */
+/* Whether R, started now, would miss its soft deadline.  Those of higher
+   priority than others only have their deadline.  */
+static bool
+is_late (const struct lineup *l, const struct lineup_request *r,
+         int64_t service_ns, int64_t now_ns)
+{
+  return r->priority >= l->lowest_priority
+         && now_ns + service_ns > r->soft_deadline_ns;
+}
+
+/* Total expected service time of the waiting requests that precede R, which
+   takes SERVICE_NS.  */
 static int64_t
-work_ahead_ns (const struct lineup *l, const struct lineup_request *r)
+work_ahead_ns (const struct lineup *l, const struct lineup_request *r,
+               int64_t service_ns, int64_t now_ns)
 {
   int64_t sum = 0;
+  bool late = is_late (l, r, service_ns, now_ns);
   for (guint i = 0; i < l->waiting->len; i++)
     {
       const struct entry *e = waiting_at (l, i);
-      if (r == NULL || !starts_before (r, &e->request))
+      bool other_late
+          = is_late (l, &e->request, e->expected_service_ns, now_ns);
+      bool same_kind
+          = e->request.priority == r->priority && other_late == late;
+      bool ahead = e->request.priority != r->priority
+                       ? e->request.priority < r->priority
+                       : late;
+      if (same_kind ? !starts_before (r, &e->request) : ahead)
         sum += e->expected_service_ns;
     }
   return sum;
 }
 
+static int64_t
+work_waiting_ns (const struct lineup *l)
+{
+  int64_t sum = 0;
+  for (guint i = 0; i < l->waiting->len; i++)
+    sum += waiting_at (l, i)->expected_service_ns;
+  return sum;
+}
+
+static uint32_t
+priority_level (uint32_t priority)
+{
+  return priority < PRIORITY_LEVELS ? priority : PRIORITY_LEVELS - 1;
+}
+
+/* The load offered in time at priorities above BELOW, as a share of the
+   slots.  */
+static double
+offered_load (const struct lineup *l, uint32_t below, int64_t now_ns)
+{
+  double elapsed
+      = (double)(now_ns - l->offered_at_ns) / (double)LOAD_TIME_CONSTANT_NS;
+  double sum_ns = 0;
+  for (uint32_t i = 0; i < below; i++)
+    sum_ns += l->offered_ns[i];
+  return sum_ns * exp (-elapsed) / (double)LOAD_TIME_CONSTANT_NS / l->slots;
+}
+
+/* Whether requests in time will use every slot.  */
+static bool
+is_overloaded (const struct lineup *l, int64_t now_ns)
+{
+  return offered_load (l, PRIORITY_LEVELS, now_ns) >= OVERLOAD_MIN;
+}
+
+static void
+record_offer (struct lineup *l, uint32_t priority, int64_t service_ns,
+              int64_t now_ns)
+{
+  double decay = exp (-(double)(now_ns - l->offered_at_ns)
+                      / (double)LOAD_TIME_CONSTANT_NS);
+  for (int i = 0; i < PRIORITY_LEVELS; i++)
+    l->offered_ns[i] *= decay;
+  l->offered_ns[priority_level (priority)] += (double)service_ns;
+  l->offered_at_ns = now_ns;
+}
+
 /* Expected time until a slot is free; 0 when one is.  */
 static int64_t
 next_free_slot_ns (const struct lineup *l)
@@ -172,37 +254,43 @@
   return running == 0 ? 0 : (int64_t)(sum / running / l->slots);
 }
 
-/* The part of the slots used by requests of higher priority than R.  More of
+/* The part of the slots that requests of higher priority than R use.  More of
    them are expected to arrive while R waits, and to start before it.  */
 static double
-higher_priority_share (const struct lineup *l, const struct lineup_request *r)
+higher_priority_share (const struct lineup *l, const struct lineup_request *r,
+                       int64_t now_ns)
 {
   uint32_t higher = 0;
   GHashTableIter iter;
   gpointer value;
-  if (r == NULL)
-    return 0;
   g_hash_table_iter_init (&iter, l->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct entry *e = value;
       higher += e->running && e->request.priority < r->priority;
     }
-  return fmin (HIGHER_PRIORITY_SHARE_MAX, (double)higher / l->slots);
+  double running = (double)higher / l->slots;
+  double offered = offered_load (l, priority_level (r->priority), now_ns);
+  return fmin (HIGHER_PRIORITY_SHARE_MAX, fmax (running, offered));
 }
 
 static int64_t
-expected_wait_ns (const struct lineup *l, const struct lineup_request *r)
-{
-  double work_ns = (double)work_ahead_ns (l, r) / l->slots;
-  return (int64_t)(work_ns / (1 - higher_priority_share (l, r)))
-         + next_free_slot_ns (l);
+expected_wait_ns (const struct lineup *l, const struct lineup_request *r,
+                  int64_t service_ns, int64_t now_ns)
+{
+  double work_ns = (double)work_ahead_ns (l, r, service_ns, now_ns) / l->slots;
+  double share_left = 1 - higher_priority_share (l, r, now_ns);
+  /* A late request yields to all that arrive in time while it waits.  */
+  if (is_late (l, r, service_ns, now_ns))
+    share_left
+        = 1 - fmin (OVERLOAD_MIN, offered_load (l, PRIORITY_LEVELS, now_ns));
+  return (int64_t)(work_ns / share_left) + next_free_slot_ns (l);
 }
 
 int64_t
 lineup_expected_wait_ns (const struct lineup *l)
 {
-  return expected_wait_ns (l, NULL);
+  return work_waiting_ns (l) / l->slots + next_free_slot_ns (l);
 }
 
 static bool
@@ -249,24 +337,28 @@
            int64_t wait_ns, int64_t service_ns, int64_t now_ns)
 {
   int64_t end_ns = now_ns + wait_ns + service_ns;
-  int64_t target_end_ns = now_ns
-                          + (int64_t)((double)(r->soft_deadline_ns - now_ns)
-                                      * SOFT_DEADLINE_SHARE);
+  bool overloaded = is_overloaded (l, now_ns);
+  double share = overloaded ? OVERLOAD_DEADLINE_SHARE : SOFT_DEADLINE_SHARE;
+  int64_t target_end_ns
+      = now_ns + (int64_t)((double)(r->soft_deadline_ns - now_ns) * share);
   /* Most service times are below the mean, so that only a request that would
      miss its deadline even with a short one is refused here.  */
   int64_t earliest_end_ns
       = now_ns + wait_ns + (int64_t)((double)service_ns * SHORT_RUN_SHARE);
   if (earliest_end_ns > r->deadline_ns)
     return earliest_end_ns - r->deadline_ns;
-  if (r->priority < l->lowest_priority)
+  bool late = is_late (l, r, service_ns, now_ns);
+  if (r->priority < l->lowest_priority || late)
     target_end_ns
         = now_ns
           + (int64_t)((double)(r->deadline_ns - now_ns) * DEADLINE_SHARE);
+  if (late && wait_ns > 0 && overloaded)
+    return wait_ns;
   if (wait_ns == 0 || end_ns <= target_end_ns)
     return 0;
   int64_t slow_wait_ns
       = (int64_t)((double)service_ns * SLOW_TARGET_WAIT_SHARE);
-  if (wait_ns <= slow_wait_ns && end_ns <= r->deadline_ns)
+  if (!overloaded && wait_ns <= slow_wait_ns && end_ns <= r->deadline_ns)
     return 0;
   return end_ns - target_end_ns;
 }
@@ -276,9 +368,12 @@
 {
   int64_t service_ns = expected_service_ns (l, r->route_hash);
   bool free_slot = has_free_slot (l) && l->waiting->len == 0;
-  int64_t wait_ns = free_slot ? 0 : expected_wait_ns (l, r);
   if (r->priority > l->lowest_priority)
     l->lowest_priority = r->priority;
+  int64_t wait_ns
+      = free_slot ? 0 : expected_wait_ns (l, r, service_ns, now_ns);
+  if (!is_late (l, r, service_ns, now_ns))
+    record_offer (l, r->priority, service_ns, now_ns);
   if (now_ns >= r->deadline_ns)
     return refuse (r, REASON_DEADLINE, 0);
   if (l->waiting->len >= WAITING_MAX)
@@ -304,14 +399,21 @@
   };
 }
 
-/* The time from which E is refused, as it can no longer be answered in
-   time.  */
+/* The time from which E is refused, as it can no longer be answered in time:
+   before its deadline, or before its soft deadline while requests in time
+   need all slots.  */
 static int64_t
-latest_start_ns (const struct lineup *l, const struct entry *e)
+latest_start_ns (const struct lineup *l, const struct entry *e, int64_t now_ns)
 {
   int64_t min_service_ns
       = l->running == 0 ? 0 : (int64_t)((double)e->expected_service_ns / 2);
-  return e->request.deadline_ns - min_service_ns;
+  int64_t latest_ns = e->request.deadline_ns - min_service_ns;
+  int64_t late_from_ns
+      = e->request.soft_deadline_ns - e->expected_service_ns + 1;
+  if (e->request.priority >= l->lowest_priority && late_from_ns < latest_ns
+      && is_overloaded (l, now_ns))
+    latest_ns = late_from_ns;
+  return latest_ns;
 }
 
 /* The first waiting request of the highest priority that can still meet its
@@ -325,7 +427,7 @@
       const struct entry *e = waiting_at (l, i);
       if (e->request.priority != priority)
         break;
-      if (now_ns + e->expected_service_ns <= e->request.soft_deadline_ns)
+      if (!is_late (l, &e->request, e->expected_service_ns, now_ns))
         return i;
     }
   return 0;
@@ -337,7 +439,7 @@
   for (guint i = 0; i < l->waiting->len; i++)
     {
       struct entry *e = waiting_at (l, i);
-      if (now_ns < latest_start_ns (l, e))
+      if (now_ns < latest_start_ns (l, e, now_ns))
         continue;
       struct lineup_request r = e->request;
       g_ptr_array_remove_index (l->waiting, i);
@@ -358,12 +460,12 @@
 }
 
 int64_t
-lineup_wake_ns (const struct lineup *l)
+lineup_wake_ns (const struct lineup *l, int64_t now_ns)
 {
   int64_t first = INT64_MAX;
   for (guint i = 0; i < l->waiting->len; i++)
     {
-      int64_t at = latest_start_ns (l, waiting_at (l, i));
+      int64_t at = latest_start_ns (l, waiting_at (l, i), now_ns);
       if (at < first)
         first = at;
     }
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -73,7 +73,7 @@
 
 /* The time at which lineup_next refuses a waiting request because of its
    deadline; INT64_MAX when none waits.  */
-int64_t lineup_wake_ns (const struct lineup *l);
+int64_t lineup_wake_ns (const struct lineup *l, int64_t now_ns);
 
 /* Record the end of the running request ID.  With COMPLETE it ran to its end
    and SERVICE_NS updates the estimates.  */
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -334,7 +334,7 @@
 static void
 arm_queue_timer (struct egress *g, int64_t now_ns)
 {
-  int64_t at_ns = lineup_wake_ns (g->lineup);
+  int64_t at_ns = lineup_wake_ns (g->lineup, now_ns);
   if (at_ns == INT64_MAX)
     {
       uv_timer_stop (&g->queue_timer);
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -5,6 +5,7 @@
 #include "base/histogram.h"
 #include "base/log.h"
 #include "limit/retry.h"
+#include "limit/returns.h"
 #include "mesh/balance.h"
 #include "settings/address.h"
 #include <inttypes.h>
@@ -32,6 +33,10 @@
 enum
 {
   CANDIDATES_MAX = 256,
+  /* Failed requests that are remembered: a thousand a second for callers that
+     wait for four seconds.  */
+  RETURNS_MAX = 4096,
+  INTERNAL_ERROR = 500,
   BAD_GATEWAY = 502,
   UNAVAILABLE = 503,
   GATEWAY_TIMEOUT = 504
@@ -42,7 +47,8 @@
   struct router_deps deps;
   struct routes *routes;
   struct service_times *service_times;
-  GHashTable *budgets; /* struct retry_budget by service name */
+  struct returns *returns; /* callers that may come back */
+  GHashTable *budgets;     /* struct retry_budget by service name */
   struct histogram *latency[OUTCOME_COUNT]; /* microseconds */
   GQueue pending;                           /* struct pending */
   uint32_t nodes; /* nodes that share the retry budgets, including this one */
@@ -59,6 +65,9 @@
   const struct service_policy *service;
   struct attempt_request request;
   int64_t arrived_ns;
+  int64_t first_ns;         /* the caller's first attempt */
+  int64_t wait_until_ns;    /* the caller's own deadline */
+  uint64_t fingerprint;     /* of the request's content, for retries */
   uint32_t sends;           /* attempts that reached a target */
   uint32_t refusals;        /* nodes that refused the request */
   bool in_doubt;            /* an earlier attempt may have run */
@@ -114,11 +123,12 @@
     return;
   log_event (EV_REQUEST_ENDED,
              "request=%s route=%s outcome=%s reason=%s status=%d took_ms=%d "
-             "sends=%u turns=%u at=%s key=%d routes=%" PRIu64,
+             "sends=%u turns=%u at=%s key=%d routes=%" PRIu64 " age_ms=%d",
              p->request.id, p->route->name, outcome_word (r->outcome),
              reason_word (r->reason), status, took_ms, p->sends, p->refusals,
              p->node_name == NULL ? "-" : p->node_name, p->request.key,
-             p->routes->version);
+             p->routes->version,
+             (int)((p->arrived_ns - p->first_ns) / NS_PER_MS));
 }
 
 static void
@@ -173,6 +183,9 @@
       if (r->outcome == OUTCOME_NOT_RUN)
         append_retry_after (head, r->retry_after_ns);
     }
+  if (status >= INTERNAL_ERROR)
+    returns_record (p->router->returns, p->fingerprint, p->first_ns,
+                    p->wait_until_ns, now_ns);
   log_result (p, r, status, now_ns);
   count_result (p->router, r, now_ns - p->arrived_ns);
   exchange->user_data = NULL;
@@ -433,9 +446,11 @@
       .load = egress_load (deps->egress, now_ns),
     };
   nodes_visit (deps->nodes, add_candidate, &c);
+  int64_t wanted_ns = p->request.soft_deadline_ns > now_ns
+                          ? p->request.soft_deadline_ns
+                          : p->request.deadline_ns;
   int best = balance_pick (p->router->service_times, c.list, c.count,
-                           p->request.route_hash,
-                           p->request.soft_deadline_ns - now_ns);
+                           p->request.route_hash, wanted_ns - now_ns);
   return best < 0 ? NULL : c.list[best].name;
 }
 
@@ -575,12 +590,33 @@
   struct attempt_request *q = &p->request;
   int64_t wait_ms = caller_wait_ms (p->router, p->exchange);
   int64_t target_latency_ms = p->route->target_latency_ms;
+  p->wait_until_ns = p->arrived_ns + wait_ms * NS_PER_MS;
+  p->first_ns = returns_find (p->router->returns, p->fingerprint,
+                              p->wait_until_ns, p->arrived_ns);
+  if (p->first_ns != p->arrived_ns)
+    counter_add (COUNTER_callers_returned_total, 1);
   if (wait_ms > p->route->timeout_ms)
     wait_ms = p->route->timeout_ms;
   if (target_latency_ms > wait_ms)
     target_latency_ms = wait_ms;
   q->deadline_ns = p->arrived_ns + wait_ms * NS_PER_MS;
-  q->soft_deadline_ns = p->arrived_ns + target_latency_ms * NS_PER_MS;
+  /* It may have passed when a caller comes back.  */
+  q->soft_deadline_ns = p->first_ns + target_latency_ms * NS_PER_MS;
+}
+
+/* Identifies the content of a request, which is the same in all attempts of
+   its caller.  */
+static uint64_t
+fingerprint_of (const struct router *r,
+                const struct http_server_exchange *exchange)
+{
+  const char *key
+      = headers_find (exchange->headers, r->deps.dialect->headers[HEADER_KEY]);
+  uint64_t hash = XXH64 (exchange->request_target->str,
+                         exchange->request_target->len, 0);
+  hash = XXH64 (exchange->body->str, exchange->body->len, hash);
+  hash = XXH64 (exchange->method, strlen (exchange->method), hash);
+  return key == NULL ? hash : XXH64 (key, strlen (key), hash);
 }
 
 static struct pending *
@@ -595,6 +631,7 @@
   p->service = &g_array_index (r->routes->services, struct service_policy,
                                route_pick_service (route));
   p->arrived_ns = clock_now_ns ();
+  p->fingerprint = fingerprint_of (r, exchange);
   p->tried_targets = g_ptr_array_new_with_free_func (g_free);
   p->request.route_hash = XXH32 (route->name, strlen (route->name), 0);
   p->request.idempotent = route->idempotent;
@@ -667,6 +704,7 @@
   struct router *r = g_new0 (struct router, 1);
   r->deps = *deps;
   r->service_times = service_times_new ();
+  r->returns = returns_new (RETURNS_MAX);
   r->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (int i = 0; i < OUTCOME_COUNT; i++)
     r->latency[i] = histogram_new ();
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -111,16 +111,33 @@
         print_decision (&d, out);
     }
   else if (is (words, "record"))
-    for (long i = 0; i < script_number (count, words, "times", 20); i++)
+    /* Answers of the past, ten seconds apart, so that they teach the service
+       time and are no load.  */
+    for (long i = script_number (count, words, "times", 20); i > 0; i--)
       {
+        int64_t then_ns = now_ns - i * 10 * NS_PER_S;
         struct lineup_request r = {
           .route_hash = (uint32_t)script_number (count, words, "route", 1),
           .soft_deadline_ns = INT64_MAX / 2,
           .deadline_ns = INT64_MAX / 2,
         };
-        d = lineup_offer (w->line, &r, now_ns);
+        d = lineup_offer (w->line, &r, then_ns);
         lineup_done (w->line, d.id, true, span_of (count, words, "took", 100));
       }
+  else if (is (words, "flood"))
+    /* Requests that are offered in time, one every STEP ms, and refused.  */
+    for (long i = 0; i < script_number (count, words, "times", 20); i++)
+      {
+        int64_t then_ns = now_ns + i * span_of (count, words, "step", 10);
+        struct lineup_request r = {
+          .route_hash = (uint32_t)script_number (count, words, "route", 1),
+          .priority = (uint32_t)script_number (count, words, "priority", 2),
+          .soft_deadline_ns = then_ns + 110 * NS_PER_MS,
+          .deadline_ns = then_ns + 120 * NS_PER_MS,
+        };
+        assert_int_equal (lineup_offer (w->line, &r, then_ns).verdict,
+                          LINEUP_REFUSE);
+      }
   else if (is (words, "next"))
     {
       d = lineup_next (w->line, now_ns);
