Admit by rank: priority, then target latency

Uploads and lookups have one priority, and all above the lowest counted as lookups, which only yield at their deadline; the queue started the oldest first, so that each upload waited for its last moment (about 280 of 300 ms) and half of them ended late. Their expected wait did not count the lookups that arrive, and start, meanwhile.

Change: the load is estimated by rank, which is priority and, within a priority, target latency in steps of two; a request is admitted with the load of earlier ranks in mind. Lookups are told by a target latency that is shorter by two steps or more; the others go by their soft deadline, whatever their priority. Routes learn their target latency from their requests.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -29,9 +29,9 @@
 /* The part of the expected service time that a request may wait although it
    will miss its soft deadline: the target is slow, not full.  */
 #define SLOW_TARGET_WAIT_SHARE 0.25
-/* Upper bound of the part of the slots that requests of higher priority are
+/* Upper bound of the part of the slots that requests of earlier ranks are
    assumed to use.  */
-#define HIGHER_PRIORITY_SHARE_MAX 0.75
+#define EARLIER_RANK_SHARE_MAX 0.75
 /* The part of the expected service time that a short run takes.  */
 #define SHORT_RUN_SHARE 0.7
 /* Time constant of the offered load.  */
@@ -40,8 +40,15 @@
    queued, because requests that can be answered in time will use every
    slot.  */
 #define OVERLOAD_MIN 0.9
-/* Numbers of priorities that are told apart in the offered load.  */
+/* Ranks: by priority, and within a priority by target latency in steps of a
+   factor of two from LATENCY_STEP_NS on.  */
 #define PRIORITY_LEVELS 8
+#define LATENCY_LEVELS 8
+#define RANKS (PRIORITY_LEVELS * LATENCY_LEVELS)
+#define LATENCY_STEP_NS (32 * NS_PER_MS)
+/* Lookups have a target latency that is shorter by at least this many levels
+   than that of the requests that they are made for.  */
+#define LOOKUP_LEVELS_MIN 2
 /* While fewer requests than this run, a new one starts even if it is expected
    to end too late.  An estimate may be wrong, and only completed requests
    correct it.  */
@@ -58,13 +65,16 @@
   bool running;
   int64_t started_ns;
   int64_t expected_service_ns;
+  uint32_t rank;
 };
 
-/* The service time estimate of a route.  */
+/* What is known of a route.  */
 struct route
 {
-  double mean_ns;
+  double mean_ns; /* service time */
   uint32_t samples;
+  int64_t latency_ns; /* longest time to the soft deadline seen, which is that
+                         of first attempts */
 };
 
 struct lineup
@@ -75,12 +85,13 @@
   uint32_t slots;
   uint32_t running;
   lineup_id last_id;
-  uint32_t lowest_priority; /* numerically highest one offered so far */
+  uint32_t first_rank;        /* the most urgent one offered so far */
+  uint32_t latency_level_max; /* the highest one offered so far */
   double slowdown;
-  /* Service time of the requests of each priority that were offered in time,
+  /* Service time of the requests of each rank that were offered in time,
      admitted or not, decayed with LOAD_TIME_CONSTANT_NS until
      OFFERED_AT_NS.  */
-  double offered_ns[PRIORITY_LEVELS];
+  double offered_ns[RANKS];
   int64_t offered_at_ns;
 };
 
@@ -92,6 +103,7 @@
   l->waiting = g_ptr_array_new ();
   l->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   l->slowdown = 1;
+  l->first_rank = RANKS;
   lineup_set_slots (l, slots);
   return l;
 }
@@ -119,20 +131,52 @@
   return g_hash_table_lookup (l->entries, GUINT_TO_POINTER (id));
 }
 
-/* The estimated service time of a route; 0 when it has no samples.  */
-static int64_t
-estimated_service_ns (const struct lineup *l, uint32_t route_hash)
+static struct route *
+find_route (struct lineup *l, uint32_t route_hash)
 {
-  const struct route *route
-      = g_hash_table_lookup (l->routes, GUINT_TO_POINTER (route_hash));
-  return route == NULL ? 0 : (int64_t)(route->mean_ns * l->slowdown);
+  gpointer key = GUINT_TO_POINTER (route_hash);
+  struct route *route = g_hash_table_lookup (l->routes, key);
+  if (route == NULL)
+    {
+      route = g_new0 (struct route, 1);
+      g_hash_table_insert (l->routes, key, route);
+    }
+  return route;
 }
 
 static int64_t
-expected_service_ns (const struct lineup *l, uint32_t route_hash)
+expected_service_ns (const struct lineup *l, const struct route *route)
+{
+  return route->samples == 0 ? DEFAULT_SERVICE_NS
+                             : (int64_t)(route->mean_ns * l->slowdown);
+}
+
+static uint32_t
+latency_level (int64_t latency_ns)
 {
-  int64_t estimate_ns = estimated_service_ns (l, route_hash);
-  return estimate_ns > 0 ? estimate_ns : DEFAULT_SERVICE_NS;
+  uint32_t level = 0;
+  while (level < LATENCY_LEVELS - 1
+         && latency_ns >= (LATENCY_STEP_NS << (level + 1)))
+    level++;
+  return level;
+}
+
+/* The rank of R, a request of ROUTE: the lower, the more urgent.  */
+static uint32_t
+update_rank (struct lineup *l, struct route *route,
+             const struct lineup_request *r, int64_t now_ns)
+{
+  if (r->soft_deadline_ns - now_ns > route->latency_ns)
+    route->latency_ns = r->soft_deadline_ns - now_ns;
+  uint32_t priority
+      = r->priority < PRIORITY_LEVELS ? r->priority : PRIORITY_LEVELS - 1;
+  uint32_t level = latency_level (route->latency_ns);
+  uint32_t rank = priority * LATENCY_LEVELS + level;
+  if (rank < l->first_rank)
+    l->first_rank = rank;
+  if (level > l->latency_level_max)
+    l->latency_level_max = level;
+  return rank;
 }
 
 /* Whether A precedes B in the queue.  */
@@ -150,35 +194,38 @@
   return g_ptr_array_index (l->waiting, i);
 }
 
-/* Whether R, started now, would miss its soft deadline.  Those of higher
-   priority than others only have their deadline.  */
+/* Whether requests of RANK are lookups.  Only their deadline matters, since
+   the work of the request that a lookup is made for is lost with it.  */
+static bool
+is_lookup (const struct lineup *l, uint32_t rank)
+{
+  return rank == l->first_rank
+         && rank % LATENCY_LEVELS + LOOKUP_LEVELS_MIN <= l->latency_level_max;
+}
+
+/* Whether E, started now, would miss its soft deadline.  */
 static bool
-is_late (const struct lineup *l, const struct lineup_request *r,
-         int64_t service_ns, int64_t now_ns)
+is_late (const struct lineup *l, const struct entry *e, int64_t now_ns)
 {
-  return r->priority >= l->lowest_priority
-         && now_ns + service_ns > r->soft_deadline_ns;
+  return !is_lookup (l, e->rank)
+         && now_ns + e->expected_service_ns > e->request.soft_deadline_ns;
 }
 
-/* Total expected service time of the waiting requests that precede R, which
-   takes SERVICE_NS.  */
+/* Total expected service time of the waiting requests that precede R.  */
 static int64_t
-work_ahead_ns (const struct lineup *l, const struct lineup_request *r,
-               int64_t service_ns, int64_t now_ns)
+work_ahead_ns (const struct lineup *l, const struct entry *r, int64_t now_ns)
 {
   int64_t sum = 0;
-  bool late = is_late (l, r, service_ns, now_ns);
+  bool late = is_late (l, r, now_ns);
   for (guint i = 0; i < l->waiting->len; i++)
     {
       const struct entry *e = waiting_at (l, i);
-      bool other_late
-          = is_late (l, &e->request, e->expected_service_ns, now_ns);
-      bool same_kind
-          = e->request.priority == r->priority && other_late == late;
-      bool ahead = e->request.priority != r->priority
-                       ? e->request.priority < r->priority
-                       : late;
-      if (same_kind ? !starts_before (r, &e->request) : ahead)
+      bool same_priority = e->request.priority == r->request.priority;
+      bool other_late = is_late (l, e, now_ns);
+      bool ahead = same_priority && other_late != late
+                       ? late
+                       : !starts_before (&r->request, &e->request);
+      if (ahead)
         sum += e->expected_service_ns;
     }
   return sum;
@@ -193,21 +240,14 @@
   return sum;
 }
 
-static uint32_t
-priority_level (uint32_t priority)
-{
-  return priority < PRIORITY_LEVELS ? priority : PRIORITY_LEVELS - 1;
-}
-
-/* The load offered in time at priorities above BELOW, as a share of the
-   slots.  */
+/* The load offered in time at ranks before RANK, as a share of the slots.  */
 static double
-offered_load (const struct lineup *l, uint32_t below, int64_t now_ns)
+offered_load (const struct lineup *l, uint32_t rank, int64_t now_ns)
 {
   double elapsed
       = (double)(now_ns - l->offered_at_ns) / (double)LOAD_TIME_CONSTANT_NS;
   double sum_ns = 0;
-  for (uint32_t i = 0; i < below; i++)
+  for (uint32_t i = 0; i < rank; i++)
     sum_ns += l->offered_ns[i];
   return sum_ns * exp (-elapsed) / (double)LOAD_TIME_CONSTANT_NS / l->slots;
 }
@@ -216,18 +256,17 @@
 static bool
 is_overloaded (const struct lineup *l, int64_t now_ns)
 {
-  return offered_load (l, PRIORITY_LEVELS, now_ns) >= OVERLOAD_MIN;
+  return offered_load (l, RANKS, now_ns) >= OVERLOAD_MIN;
 }
 
 static void
-record_offer (struct lineup *l, uint32_t priority, int64_t service_ns,
-              int64_t now_ns)
+record_offer (struct lineup *l, const struct entry *e, int64_t now_ns)
 {
   double decay = exp (-(double)(now_ns - l->offered_at_ns)
                       / (double)LOAD_TIME_CONSTANT_NS);
-  for (int i = 0; i < PRIORITY_LEVELS; i++)
+  for (int i = 0; i < RANKS; i++)
     l->offered_ns[i] *= decay;
-  l->offered_ns[priority_level (priority)] += (double)service_ns;
+  l->offered_ns[e->rank] += (double)e->expected_service_ns;
   l->offered_at_ns = now_ns;
 }
 
@@ -254,36 +293,35 @@
   return running == 0 ? 0 : (int64_t)(sum / running / l->slots);
 }
 
-/* The part of the slots that requests of higher priority than R use.  More of
+/* The part of the slots that requests of earlier ranks than R use.  More of
    them are expected to arrive while R waits, and to start before it.  */
 static double
-higher_priority_share (const struct lineup *l, const struct lineup_request *r,
-                       int64_t now_ns)
+earlier_rank_share (const struct lineup *l, const struct entry *r,
+                    int64_t now_ns)
 {
-  uint32_t higher = 0;
+  uint32_t earlier = 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, l->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct entry *e = value;
-      higher += e->running && e->request.priority < r->priority;
+      earlier += e->running && e->rank < r->rank;
     }
-  double running = (double)higher / l->slots;
-  double offered = offered_load (l, priority_level (r->priority), now_ns);
-  return fmin (HIGHER_PRIORITY_SHARE_MAX, fmax (running, offered));
+  double running = (double)earlier / l->slots;
+  double offered = offered_load (l, r->rank, now_ns);
+  return fmin (EARLIER_RANK_SHARE_MAX, fmax (running, offered));
 }
 
 static int64_t
-expected_wait_ns (const struct lineup *l, const struct lineup_request *r,
-                  int64_t service_ns, int64_t now_ns)
+expected_wait_ns (const struct lineup *l, const struct entry *r,
+                  int64_t now_ns)
 {
-  double work_ns = (double)work_ahead_ns (l, r, service_ns, now_ns) / l->slots;
-  double share_left = 1 - higher_priority_share (l, r, now_ns);
+  double work_ns = (double)work_ahead_ns (l, r, now_ns) / l->slots;
+  double share_left = 1 - earlier_rank_share (l, r, now_ns);
   /* A late request yields to all that arrive in time while it waits.  */
-  if (is_late (l, r, service_ns, now_ns))
-    share_left
-        = 1 - fmin (OVERLOAD_MIN, offered_load (l, PRIORITY_LEVELS, now_ns));
+  if (is_late (l, r, now_ns))
+    share_left = 1 - fmin (OVERLOAD_MIN, offered_load (l, RANKS, now_ns));
   return (int64_t)(work_ns / share_left) + next_free_slot_ns (l);
 }
 
@@ -330,14 +368,17 @@
   };
 }
 
-/* By how much R would end too late after WAIT_NS and SERVICE_NS; 0 when it may
-   wait or start.  */
+/* By how much E would end too late after WAIT_NS; 0 when it may wait or
+   start.  */
 static int64_t
-excess_ns (const struct lineup *l, const struct lineup_request *r,
-           int64_t wait_ns, int64_t service_ns, int64_t now_ns)
+excess_ns (const struct lineup *l, const struct entry *e, int64_t wait_ns,
+           int64_t now_ns)
 {
+  const struct lineup_request *r = &e->request;
+  int64_t service_ns = e->expected_service_ns;
   int64_t end_ns = now_ns + wait_ns + service_ns;
   bool overloaded = is_overloaded (l, now_ns);
+  bool late = is_late (l, e, now_ns);
   double share = overloaded ? OVERLOAD_DEADLINE_SHARE : SOFT_DEADLINE_SHARE;
   int64_t target_end_ns
       = now_ns + (int64_t)((double)(r->soft_deadline_ns - now_ns) * share);
@@ -347,8 +388,7 @@
       = now_ns + wait_ns + (int64_t)((double)service_ns * SHORT_RUN_SHARE);
   if (earliest_end_ns > r->deadline_ns)
     return earliest_end_ns - r->deadline_ns;
-  bool late = is_late (l, r, service_ns, now_ns);
-  if (r->priority < l->lowest_priority || late)
+  if (is_lookup (l, e->rank) || late)
     target_end_ns
         = now_ns
           + (int64_t)((double)(r->deadline_ns - now_ns) * DEADLINE_SHARE);
@@ -363,40 +403,51 @@
   return end_ns - target_end_ns;
 }
 
-struct lineup_decision
-lineup_offer (struct lineup *l, const struct lineup_request *r, int64_t now_ns)
+/* Decide on E, a new request, which is not in the tables yet.  */
+static struct lineup_decision
+decide_offer (struct lineup *l, const struct entry *e, int64_t now_ns)
 {
-  int64_t service_ns = expected_service_ns (l, r->route_hash);
+  const struct lineup_request *r = &e->request;
   bool free_slot = has_free_slot (l) && l->waiting->len == 0;
-  if (r->priority > l->lowest_priority)
-    l->lowest_priority = r->priority;
-  int64_t wait_ns
-      = free_slot ? 0 : expected_wait_ns (l, r, service_ns, now_ns);
-  if (!is_late (l, r, service_ns, now_ns))
-    record_offer (l, r->priority, service_ns, now_ns);
+  int64_t wait_ns = free_slot ? 0 : expected_wait_ns (l, e, now_ns);
+  if (!is_late (l, e, now_ns))
+    record_offer (l, e, now_ns);
   if (now_ns >= r->deadline_ns)
     return refuse (r, REASON_DEADLINE, 0);
   if (l->waiting->len >= WAITING_MAX)
     return refuse (r, REASON_QUEUE_FULL, wait_ns);
-  int64_t excess = excess_ns (l, r, wait_ns, service_ns, now_ns);
+  int64_t excess = excess_ns (l, e, wait_ns, now_ns);
   bool probe = free_slot && l->running < PROBES_MAX;
   if (excess > 0 && !probe)
     return refuse (r, REASON_QUEUE_FULL, excess);
-  struct entry *e = g_new0 (struct entry, 1);
-  e->request = *r;
-  e->id = ++l->last_id == LINEUP_NONE ? ++l->last_id : l->last_id;
-  e->expected_service_ns = service_ns;
-  g_hash_table_insert (l->entries, GUINT_TO_POINTER (e->id), e);
-  if (free_slot)
-    start (l, e, now_ns);
-  else
-    insert_waiting (l, e);
   return (struct lineup_decision){
     .verdict = free_slot ? LINEUP_START : LINEUP_WAIT,
-    .id = e->id,
     .user_data = r->user_data,
-    .expected_latency_ns = wait_ns + service_ns,
+    .expected_latency_ns = wait_ns + e->expected_service_ns,
+  };
+}
+
+struct lineup_decision
+lineup_offer (struct lineup *l, const struct lineup_request *r, int64_t now_ns)
+{
+  struct route *route = find_route (l, r->route_hash);
+  struct entry offered = {
+    .request = *r,
+    .expected_service_ns = expected_service_ns (l, route),
+    .rank = update_rank (l, route, r, now_ns),
   };
+  struct lineup_decision d = decide_offer (l, &offered, now_ns);
+  if (d.verdict == LINEUP_REFUSE)
+    return d;
+  d.id = ++l->last_id == LINEUP_NONE ? ++l->last_id : l->last_id;
+  offered.id = d.id;
+  struct entry *e = g_memdup2 (&offered, sizeof offered);
+  g_hash_table_insert (l->entries, GUINT_TO_POINTER (e->id), e);
+  if (d.verdict == LINEUP_START)
+    start (l, e, now_ns);
+  else
+    insert_waiting (l, e);
+  return d;
 }
 
 /* The time from which E is refused, as it can no longer be answered in time:
@@ -410,14 +461,15 @@
   int64_t latest_ns = e->request.deadline_ns - min_service_ns;
   int64_t late_from_ns
       = e->request.soft_deadline_ns - e->expected_service_ns + 1;
-  if (e->request.priority >= l->lowest_priority && late_from_ns < latest_ns
+  if (!is_lookup (l, e->rank) && late_from_ns < latest_ns
       && is_overloaded (l, now_ns))
     latest_ns = late_from_ns;
   return latest_ns;
 }
 
 /* The first waiting request of the highest priority that can still meet its
-   soft deadline, or the first one of all when there is none.  */
+   soft deadline, or the first one of all when there is none.  Lookups too:
+   those that are late are behind those that are not.  */
 static guint
 next_to_start (const struct lineup *l, int64_t now_ns)
 {
@@ -427,7 +479,7 @@
       const struct entry *e = waiting_at (l, i);
       if (e->request.priority != priority)
         break;
-      if (!is_late (l, &e->request, e->expected_service_ns, now_ns))
+      if (now_ns + e->expected_service_ns <= e->request.soft_deadline_ns)
         return i;
     }
   return 0;
@@ -475,13 +527,7 @@
 static void
 update_estimates (struct lineup *l, const struct entry *e, int64_t service_ns)
 {
-  gpointer key = GUINT_TO_POINTER (e->request.route_hash);
-  struct route *route = g_hash_table_lookup (l->routes, key);
-  if (route == NULL)
-    {
-      route = g_new0 (struct route, 1);
-      g_hash_table_insert (l->routes, key, route);
-    }
+  struct route *route = find_route (l, e->request.route_hash);
   route->samples++;
   double weight = fmax (ROUTE_MEAN_WEIGHT, 1.0 / route->samples);
   double ratio = route->samples == 1 ? 1 : (double)service_ns / route->mean_ns;
--- a/test/unit/test_limit_lineup.c
+++ b/test/unit/test_limit_lineup.c
@@ -164,6 +164,8 @@
 {
   enum caller_state state;
   uint32_t priority;
+  bool is_lookup;
+  int64_t latency_ns; /* its target latency */
   int attempts;
   lineup_id id;
   int64_t first_ns; /* time of the first attempt */
@@ -181,10 +183,17 @@
   double service_ms;
   double spread;
   double slowdown; /* factor on service times from second 6 to 10; 0: none */
-  double lookups;  /* share of the demand that lookups are */
-  double leavers;  /* share of the callers that leave while they wait */
+  double lookups;  /* share of the callers that are lookups */
+  double urgent;  /* share of the callers of a priority between lookups and the
+                     rest */
+  double leavers; /* share of the callers that leave while they wait */
   int64_t target_latency_ms;
   int64_t deadline_ms;
+  /* Of lookups: the same as of other callers if 0.  */
+  uint32_t lookup_priority;
+  double lookup_service_ms;
+  int64_t lookup_latency_ms;
+  int64_t lookup_deadline_ms;
 };
 
 struct counts
@@ -196,6 +205,8 @@
   int refused_waiting; /* attempts that were refused after a wait */
   int lookups;
   int lookups_served;
+  int urgent;
+  int urgent_in_time;
   double busy; /* share of the slots that were used */
 };
 
@@ -237,9 +248,9 @@
 }
 
 static int64_t
-soft_deadline_ns (const struct run *r, const struct caller *c)
+soft_deadline_ns (const struct caller *c)
 {
-  return c->first_ns + r->load.target_latency_ms * NS_PER_MS;
+  return c->first_ns + c->latency_ns;
 }
 
 static void
@@ -247,10 +258,10 @@
 {
   int64_t left_ns = c->deadline_ns - r->now_ns;
   r->counts.refused_waiting += c->state == CALLER_WAITING && is_measured (c);
-  if (c->attempts > 1 || c->priority == 0)
+  if (c->attempts > 1 || c->is_lookup)
     {
       remove_live (r, c);
-      r->counts.refused += is_measured (c) && c->priority != 0;
+      r->counts.refused += is_measured (c) && !c->is_lookup;
       return;
     }
   /* As the router does, and as callers honour it.  */
@@ -294,9 +305,9 @@
 offer (struct run *r, struct caller *c)
 {
   struct lineup_request q = {
-    .route_hash = 1 + (c->priority == 0),
+    .route_hash = c->is_lookup ? 1 : 2 + c->priority,
     .priority = c->priority,
-    .soft_deadline_ns = soft_deadline_ns (r, c),
+    .soft_deadline_ns = soft_deadline_ns (c),
     .deadline_ns = c->deadline_ns,
     .user_data = c,
   };
@@ -319,23 +330,42 @@
     }
 }
 
+static int64_t
+ms_or (int64_t ms, int64_t otherwise_ms)
+{
+  return (ms > 0 ? ms : otherwise_ms) * NS_PER_MS;
+}
+
 static void
 add_caller (struct run *r)
 {
   assert_true (r->caller_count < CALLERS_MAX && r->live_count < LIVE_MAX);
+  const struct load *load = &r->load;
   struct caller *c = &r->callers[r->caller_count++];
-  bool lookup = next_uniform (&r->random) < r->load.lookups;
+  double kind = next_uniform (&r->random);
+  bool lookup = kind < load->lookups;
+  bool urgent = !lookup && kind < load->lookups + load->urgent;
+  double service_ms = lookup && load->lookup_service_ms > 0
+                          ? load->lookup_service_ms
+                          : load->service_ms;
   *c = (struct caller){
-    .priority = lookup ? 0 : 2,
+    .priority = lookup   ? load->lookup_priority
+                : urgent ? 1
+                         : 2,
+    .is_lookup = lookup,
     .first_ns = r->now_ns,
-    .deadline_ns = r->now_ns + r->load.deadline_ms * NS_PER_MS,
-    .service_ns
-    = (int64_t)(next_service (&r->random, r->load.service_ms, r->load.spread)
-                * (double)NS_PER_MS),
+    .latency_ns
+    = ms_or (lookup ? load->lookup_latency_ms : 0, load->target_latency_ms),
+    .deadline_ns
+    = r->now_ns
+      + ms_or (lookup ? load->lookup_deadline_ms : 0, load->deadline_ms),
+    .service_ns = (int64_t)(next_service (&r->random, service_ms, load->spread)
+                            * (double)NS_PER_MS),
   };
   r->live[r->live_count++] = c;
   r->counts.callers += is_measured (c) && !lookup;
   r->counts.lookups += is_measured (c) && lookup;
+  r->counts.urgent += is_measured (c) && urgent;
   offer (r, c);
 }
 
@@ -346,10 +376,13 @@
   remove_live (r, c);
   if (!is_measured (c))
     return;
-  if (c->priority == 0)
+  if (c->is_lookup)
     r->counts.lookups_served += r->now_ns <= c->deadline_ns;
-  else if (r->now_ns <= soft_deadline_ns (r, c))
-    r->counts.in_time++;
+  else if (r->now_ns <= soft_deadline_ns (c))
+    {
+      r->counts.in_time++;
+      r->counts.urgent_in_time += c->priority == 1;
+    }
   else if (r->now_ns <= c->deadline_ns)
     r->counts.late++;
 }
@@ -502,6 +535,57 @@
   assert_true (c.lookups_served * 100 > c.lookups * 97);
 }
 
+/* Requests that are more urgent than others, and less than lookups, do not use
+   up their deadline in the queue: they end in time while those below them are
+   refused.  */
+static void
+urgent_requests_are_in_time (void **state)
+{
+  (void)state;
+  struct load load = { .demand = 1.5,
+                       .lookups = 0.3,
+                       .urgent = 0.25,
+                       .service_ms = 40,
+                       .spread = 0.5,
+                       .target_latency_ms = 200,
+                       .deadline_ms = 600 };
+  struct counts c = run_load (&load, 20, 1);
+  print_counts ("urgent", &c);
+  print_message ("urgent: %d, in time %.3f\n", c.urgent,
+                 (double)c.urgent_in_time / c.urgent);
+  /* Lookups and urgent requests together need 0.825 of the slots.  */
+  assert_true (c.urgent_in_time * 100 > c.urgent * 90);
+  assert_true (c.late * 4 < c.in_time);
+}
+
+/* Lookups of the same priority as other requests are told by their shorter
+   target latency.  They start first, and the others are admitted with the
+   lookups in mind that will arrive while they wait: they do not end late.  */
+static void
+lookups_of_equal_priority (void **state)
+{
+  (void)state;
+  struct load load = { .demand = 3.2,
+                       .lookups = 0.74,
+                       .urgent = 0.13,
+                       .service_ms = 60,
+                       .spread = 0.8,
+                       .target_latency_ms = 300,
+                       .deadline_ms = 800,
+                       .lookup_priority = 1,
+                       .lookup_service_ms = 15,
+                       .lookup_latency_ms = 60,
+                       .lookup_deadline_ms = 200 };
+  struct counts c = run_load (&load, 20, 1);
+  print_counts ("equal priority", &c);
+  print_message ("equal priority: %d urgent, in time %.3f; %d lookups, served "
+                 "%.3f\n",
+                 c.urgent, (double)c.urgent_in_time / c.urgent, c.lookups,
+                 (double)c.lookups_served / c.lookups);
+  assert_true (c.lookups_served * 100 > c.lookups * 97);
+  assert_true (c.late * 4 < c.in_time);
+}
+
 /* Callers that leave while they wait free their places.  */
 static void
 leavers_block_nobody (void **state)
@@ -528,6 +612,8 @@
     cmocka_unit_test (burst_uses_free_slots_after),
     cmocka_unit_test (slow_target_recovers),
     cmocka_unit_test (lookups_pass_new_requests),
+    cmocka_unit_test (urgent_requests_are_in_time),
+    cmocka_unit_test (lookups_of_equal_priority),
     cmocka_unit_test (leavers_block_nobody),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -118,8 +118,10 @@
         int64_t then_ns = now_ns - i * 10 * NS_PER_S;
         struct lineup_request r = {
           .route_hash = (uint32_t)script_number (count, words, "route", 1),
-          .soft_deadline_ns = INT64_MAX / 2,
-          .deadline_ns = INT64_MAX / 2,
+          .priority = (uint32_t)script_number (count, words, "priority", 2),
+          .soft_deadline_ns
+          = then_ns + span_of (count, words, "target_latency", 600),
+          .deadline_ns = then_ns + NS_PER_S * 10,
         };
         d = lineup_offer (w->line, &r, then_ns);
         lineup_done (w->line, d.id, true, span_of (count, words, "took", 100));
