Refuse at once what every target has refused

Cause: a request without a key that each target had refused, as its queue is too long, went on looking for another target each 20 ms for 40% of its time, and was refused then.

Change: when no target is left and some have refused, the caller is told at once. Without any refusal a request still waits, since a target may come.

Test: mesh.test, a burst on a service of one target: 36 refusals after 0.4 s or more before, none now.

--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -507,7 +507,10 @@
       start_deadline_timer (p, now_ns);
       return;
     }
-  if (may_wait (p, OWNER_WAIT_SHARE, now_ns))
+  /* If each target that takes requests has refused this one, waiting does not
+     help.  */
+  bool refused_by_all = !keyed && name == NULL && p->refusals > 0;
+  if (!refused_by_all && may_wait (p, OWNER_WAIT_SHARE, now_ns))
     {
       retry_later (p, LOOKUP_RETRY_MS * NS_PER_MS);
       return;
