Queue: look at the load once a pass; log a backlog that may be reset

The overload of a target was computed for each waiting request; it is now once for each pass over the queue, with the same decisions (test_limit_lineup prints the same figures). A filter or an accept that fails while a node stops listening leaves a log line, and the number of connections taken over is bounded.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -23,8 +23,7 @@
    fewer requests late.  */
 #define OVERLOAD_DEADLINE_SHARE 0.7
 /* The part of the time to the deadline that the expected latency may use, for
-   requests above the lowest priority.  They start before the others, and
-   refusing a lookup wastes the work of the request that it is made for.  */
+   lookups and for requests that are late.  */
 #define DEADLINE_SHARE 0.85
 /* The part of the expected service time that a request may wait although it
    will miss its soft deadline: the target is slow, not full.  */
@@ -482,18 +481,17 @@
 }
 
 /* The time from which E is refused, as it can no longer be answered in time:
-   before its deadline, or before its soft deadline while requests in time
-   need all slots.  */
+   before its deadline, or before its soft deadline while OVERLOADED.  */
 static int64_t
-latest_start_ns (const struct lineup *l, const struct entry *e, int64_t now_ns)
+latest_start_ns (const struct lineup *l, const struct entry *e,
+                 bool overloaded)
 {
   int64_t min_service_ns
       = l->running == 0 ? 0 : (int64_t)((double)e->expected_service_ns / 2);
   int64_t latest_ns = e->request.deadline_ns - min_service_ns;
   int64_t late_from_ns
       = e->request.soft_deadline_ns - e->expected_service_ns + 1;
-  if (!is_lookup (l, e->rank) && late_from_ns < latest_ns
-      && is_overloaded (l, now_ns))
+  if (overloaded && !is_lookup (l, e->rank) && late_from_ns < latest_ns)
     latest_ns = late_from_ns;
   return latest_ns;
 }
@@ -519,10 +517,11 @@
 struct lineup_decision
 lineup_next (struct lineup *l, int64_t now_ns)
 {
+  bool overloaded = l->waiting->len > 0 && is_overloaded (l, now_ns);
   for (guint i = 0; i < l->waiting->len; i++)
     {
       struct entry *e = waiting_at (l, i);
-      if (now_ns < latest_start_ns (l, e, now_ns))
+      if (now_ns < latest_start_ns (l, e, overloaded))
         continue;
       struct lineup_request r = e->request;
       g_ptr_array_remove_index (l->waiting, i);
@@ -546,9 +545,10 @@
 lineup_wake_ns (const struct lineup *l, int64_t now_ns)
 {
   int64_t first = INT64_MAX;
+  bool overloaded = l->waiting->len > 0 && is_overloaded (l, now_ns);
   for (guint i = 0; i < l->waiting->len; i++)
     {
-      int64_t at = latest_start_ns (l, waiting_at (l, i), now_ns);
+      int64_t at = latest_start_ns (l, waiting_at (l, i), overloaded);
       if (at < first)
         first = at;
     }
--- a/src/route/callers.c
+++ b/src/route/callers.c
@@ -1,6 +1,7 @@
 #include "route/callers.h"
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/log.h"
 #include "route/request_line.h"
 #include "route/router.h"
 #include "settings/address.h"
@@ -25,6 +26,7 @@
   RETRY_AFTER_BYTES = 16,
   ERROR_BODY_BYTES = 512,
   BACKLOG = 1024,
+  BACKLOG_MAX = BACKLOG + 1, /* the kernel accepts one more */
   /* Also the time that the daemon's thread has to count a connection that it
      has just accepted.  */
   DRAIN_POLL_US = 10000,
@@ -447,12 +449,16 @@
   struct sock_fprog filter = { 1, &drop_all };
   struct sockaddr_storage address;
   socklen_t length = sizeof address;
-  int s;
-  setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter);
-  while ((s = accept4 (fd, (struct sockaddr *)&address, &length,
-                       SOCK_NONBLOCK | SOCK_CLOEXEC))
-         >= 0)
+  int s = 0;
+  if (setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter)
+      != 0)
+    log_event (EV_BACKLOG_RESET, "cause=\"%s\"", strerror (errno));
+  for (int i = 0; i < BACKLOG_MAX; i++)
     {
+      s = accept4 (fd, (struct sockaddr *)&address, &length,
+                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (s < 0)
+        break;
       ck_pr_inc_32 (&c->fresh_count);
       ck_pr_inc_32 (&c->adopted_count);
       /* Closes the socket when it fails, which leaves the connection counted
@@ -460,6 +466,8 @@
       MHD_add_connection (c->daemon, s, (struct sockaddr *)&address, length);
       length = sizeof address;
     }
+  if (s < 0 && errno != EAGAIN)
+    log_event (EV_BACKLOG_RESET, "cause=\"%s\"", strerror (errno));
   close (fd);
 }
 
