Frames: room for the state of evacuations, links and pace

Nodes are to tell each other which evacuated zones they know, the rate of their link and the pace of their target. The five numbers travel as one array behind the identity, and only if one of them is set, so that frames of deployments that use none of this stay as they were, and nodes of earlier versions ignore the array.

--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -27,6 +27,12 @@
   uint32_t warmup_remaining_ms;
   /* Time between two requests that it takes; 0: no limit.  */
   uint32_t start_interval_ms;
+  uint32_t link_kbps; /* rate of the node's network link; 0: not stated */
+  /* Time until the bodies that the node admitted have arrived.  */
+  uint32_t link_wait_ms;
+  /* How long work takes at the target now, as the target states it; 100:
+     usual, 0: not stated.  */
+  uint32_t pace_pct;
 };
 
 struct egress_hooks
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -59,6 +59,7 @@
 {
   NODE_ITEMS = 6,
   STATE_ITEMS = 11,
+  STATE_EXTRA_ITEMS = 5,
   REQUEST_ITEMS = 10,
   RESULT_ITEMS = 10,
   HANDOVER_ITEMS = 3
@@ -94,6 +95,29 @@
   put_uint (w, s->cell_serial);
 }
 
+/* Whether S has fields that nodes of earlier versions do not know.  */
+static bool
+has_extra (const struct frame_state *s)
+{
+  return s->evacuations.version != 0 || s->load.link_kbps != 0
+         || s->load.link_wait_ms != 0 || s->load.pace_pct != 0;
+}
+
+/* The last item of a frame, an array, because nodes of earlier versions ignore
+   what follows the items that they know.  */
+static void
+put_extra (struct writer *w, const struct frame_state *s)
+{
+  if (!has_extra (s))
+    return;
+  msgpack_pack_array (&w->packer, STATE_EXTRA_ITEMS);
+  put_uint (w, s->evacuations.version);
+  put_uint (w, s->evacuations.digest);
+  put_uint (w, s->load.link_kbps);
+  put_uint (w, s->load.link_wait_ms);
+  put_uint (w, s->load.pace_pct);
+}
+
 /* Bits of the first item of a target's terms, which is the only one unless the
    target is limited or leaving.  */
 enum
@@ -136,14 +160,18 @@
 }
 
 GString *
-frame_state (const struct frame_node *node, const struct frame_state *state)
+frame_state (const struct frame_node *node, bool with_node,
+             const struct frame_state *state)
 {
   struct writer w;
+  bool extra = has_extra (state);
+  with_node = with_node || extra;
   writer_begin (&w, FRAME_STATE,
-                STATE_ITEMS + (node == NULL ? 0 : NODE_ITEMS));
+                STATE_ITEMS + (with_node ? NODE_ITEMS : 0) + extra);
   put_state (&w, state);
-  if (node != NULL)
+  if (with_node)
     put_node (&w, node);
+  put_extra (&w, state);
   return writer_finish (&w);
 }
 
@@ -182,7 +210,8 @@
 {
   struct writer w;
   writer_begin (&w, FRAME_RESULT,
-                RESULT_ITEMS + STATE_ITEMS + terms_items (&r->terms));
+                RESULT_ITEMS + STATE_ITEMS + terms_items (&r->terms)
+                    + has_extra (state));
   put_state (&w, state);
   put_uint (&w, call_id);
   put_uint (&w, r->outcome);
@@ -195,6 +224,7 @@
   put_int (&w, r->retry_after_ns);
   put_int (&w, r->service_time_ns);
   put_terms (&w, &r->terms);
+  put_extra (&w, state);
   return writer_finish (&w);
 }
 
@@ -343,6 +373,29 @@
   s->cell_serial = read_u32 (r);
 }
 
+/* Read the fields of S that nodes of earlier versions do not send.  */
+static void
+read_extra (struct reader *r, struct frame_state *s)
+{
+  if (r->next == r->end)
+    return;
+  const msgpack_object *o = next_item (r);
+  if (o->type != MSGPACK_OBJECT_ARRAY)
+    {
+      r->valid = false;
+      return;
+    }
+  struct reader extra = { .next = o->via.array.ptr,
+                          .end = o->via.array.ptr + o->via.array.size,
+                          .valid = true };
+  s->evacuations.version = read_uint (&extra);
+  s->evacuations.digest = read_uint (&extra);
+  s->load.link_kbps = read_u32 (&extra);
+  s->load.link_wait_ms = read_u32 (&extra);
+  s->load.pace_pct = read_u32 (&extra);
+  r->valid = r->valid && extra.valid;
+}
+
 static void
 read_terms (struct reader *r, struct target_terms *t)
 {
@@ -405,6 +458,7 @@
   a->retry_after_ns = read_int (r);
   a->service_time_ns = read_int (r);
   read_terms (r, &a->terms);
+  read_extra (r, &f->state);
 }
 
 static void
@@ -429,6 +483,7 @@
       f->has_node = r->next < r->end;
       if (f->has_node)
         read_node (r, &f->node);
+      read_extra (r, &f->state);
       break;
     case FRAME_REQUEST:
       read_request (r, f);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -52,6 +52,13 @@
   uint64_t start_id;               /* differs for each start of the process */
 };
 
+/* Which set of evacuated availability zones a node knows.  */
+struct evacuations_stamp
+{
+  uint64_t version; /* 0: none */
+  uint64_t digest;  /* equal for equal sets */
+};
+
 /* The state that a node reports.  */
 struct frame_state
 {
@@ -60,6 +67,7 @@
   bool watch_healthy; /* the store answered its last watch call */
   uint64_t routes_version;
   uint32_t cell_serial; /* of its service's ownership document; 0: none */
+  struct evacuations_stamp evacuations;
 };
 
 struct frame_handover
@@ -88,7 +96,9 @@
 
 /* Each function serializes one frame, which the caller frees.  */
 GString *frame_hello (const struct frame_node *node);
-GString *frame_state (const struct frame_node *node,
+/* The identity NODE goes along if WITH_NODE, or if STATE has fields that nodes
+   of earlier versions would otherwise take for it.  */
+GString *frame_state (const struct frame_node *node, bool with_node,
                       const struct frame_state *state);
 GString *frame_request (uint64_t call_id, const struct attempt_request *r,
                         const struct target_terms *terms,
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -320,7 +320,7 @@
   memcpy (in->name, node->name, sizeof in->name);
   memcpy (in->zone, node->zone, sizeof in->zone);
   p->hooks.fill_state (p->hooks.arg, &state);
-  link_send (in->link, frame_state (&p->self, &state));
+  link_send (in->link, frame_state (&p->self, true, &state));
   in->state_sent = true;
   nodes_add (p, &node->address);
 }
@@ -738,7 +738,7 @@
     {
       struct inbound *in = l->data;
       if (in->state_sent && (zone == NULL || strcmp (zone, in->zone) == 0))
-        link_send (in->link, frame_state (NULL, &state));
+        link_send (in->link, frame_state (&p->self, false, &state));
     }
 }
 
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -307,7 +307,7 @@
                            .load.start_interval_ms = 130 };
   struct frame f;
   (void)state;
-  GString *out = frame_state (NULL, &s);
+  GString *out = frame_state (NULL, false, &s);
   size_t length = out->len - FRAME_HEADER_BYTES;
   const char *bytes = out->str + FRAME_HEADER_BYTES;
   assert_int_equal (frame_parse (bytes, length, &f), STATUS_OK);
@@ -321,6 +321,37 @@
   g_string_free (out, TRUE);
 }
 
+/* Fields that came later travel behind the identity: a node of an earlier
+   version would take them for it, and close the connection.  */
+static void
+later_state_fields_follow_identity (void **state)
+{
+  struct frame f;
+  struct frame_node node
+      = { .name = "n", .address = { "127.0.0.1", 80 }, .start_id = 9 };
+  struct frame_state s
+      = { .clock_ns = 5,
+          .load = { .link_kbps = 10000, .link_wait_ms = 3, .pace_pct = 140 },
+          .evacuations = { .version = 7, .digest = UINT64_MAX } };
+  struct attempt_result result = attempt_not_run (REASON_QUEUE_FULL, 0);
+  (void)state;
+  GString *frames[]
+      = { frame_state (&node, false, &s), frame_result (3, &result, &s) };
+  for (size_t i = 0; i < G_N_ELEMENTS (frames); i++)
+    {
+      assert_int_equal (frame_parse (frames[i]->str + FRAME_HEADER_BYTES,
+                                     frames[i]->len - FRAME_HEADER_BYTES, &f),
+                        STATUS_OK);
+      assert_int_equal (f.state.evacuations.version, 7);
+      assert_true (f.state.evacuations.digest == UINT64_MAX);
+      assert_int_equal (f.state.load.link_kbps, 10000);
+      assert_int_equal (f.state.load.link_wait_ms, 3);
+      assert_int_equal (f.state.load.pace_pct, 140);
+      assert_int_equal (f.has_node, i == 0);
+      g_string_free (frames[i], TRUE);
+    }
+}
+
 /* The store lists two pages; the only item of the first is invalid.  */
 
 enum
@@ -395,6 +426,7 @@
     cmocka_unit_test (invalid_terms_are_rejected),
     cmocka_unit_test (terms_travel_with_results),
     cmocka_unit_test (truncated_frames_are_rejected),
+    cmocka_unit_test (later_state_fields_follow_identity),
     cmocka_unit_test (invalid_item_does_not_block_others),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
