Queue: admit nothing ahead that pushes an admitted request past its time

Cause: a request with an earlier soft deadline, such as a caller's return, is queued ahead of those that wait. Whether these are still in time then was not asked, so that several such requests made the last one miss its soft deadline, at which it is refused under overload.

Change: under overload a request is refused at once if its turn would make a waiting one of its priority late. Lookups and requests of a higher priority still go ahead.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -482,6 +482,32 @@
   return end_ns - target_end_ns;
 }
 
+/* By how much E, if it is admitted, makes a waiting request of its priority
+   that starts after it miss its soft deadline; 0: none.  Under overload that
+   request would be refused at its soft deadline, after a wait for nothing. */
+static int64_t
+delay_behind_ns (const struct lineup *l, const struct entry *e, int64_t now_ns)
+{
+  double turns_ns = (double)next_start_ns (l, now_ns);
+  double own_ns = turn_ns (l, e->expected_service_ns);
+  if (l->waiting->len == 0 || is_lookup (l, e->rank) || is_late (l, e, now_ns)
+      || !is_overloaded (l, now_ns))
+    return 0;
+  for (guint i = 0; i < l->waiting->len; i++)
+    {
+      const struct entry *w = waiting_at (l, i);
+      int64_t end_ns = now_ns + (int64_t)turns_ns + w->expected_service_ns;
+      int64_t left_ns = w->request.soft_deadline_ns - end_ns;
+      if (w->request.priority == e->request.priority
+          && starts_before (&e->request, &w->request)
+          && !is_lookup (l, w->rank) && left_ns >= 0
+          && left_ns < (int64_t)own_ns)
+        return (int64_t)own_ns - left_ns;
+      turns_ns += turn_ns (l, w->expected_service_ns);
+    }
+  return 0;
+}
+
 /* Why the target has no room for E: its limit or its slots.  */
 static enum reason
 busy_reason (const struct lineup *l, const struct entry *e)
@@ -505,6 +531,8 @@
   if (l->waiting->len >= WAITING_MAX)
     return refuse (r, REASON_QUEUE_FULL, wait_ns);
   int64_t excess = excess_ns (l, e, wait_ns, now_ns);
+  if (excess == 0)
+    excess = delay_behind_ns (l, e, now_ns);
   bool probe = free_slot && l->running < PROBES_MAX;
   if (excess > 0 && !probe)
     return refuse (r, busy_reason (l, e), excess);
