Evacuate availability zones in the mesh

A node kept sending to its target whatever the operators wrote about its zone. Nodes now watch the evacuated zones together with the configuration, by one watch, and pass the set on with the age of each zone. The gate beside each target refuses new requests as soon as its zone is evacuated, and sends nothing once the evacuation is known for evacuation.close_ms; keys are handed over to members of other zones, which also receive none of the slots that a lost member leaves. Off unless evacuation.close_ms is set, on the platform by the bound evacuate_ms.

A node that does not know the set, because it has just started or has heard neither the store nor any node for close_ms, sends nothing.

--- a/src/mesh/dialect.h
+++ b/src/mesh/dialect.h
@@ -76,6 +76,8 @@
   const char *headers[HEADER_ROLE_COUNT];
   /* The store's key of the operators' configuration.  */
   const char *configuration_key;
+  /* Prefix of the store's keys that each name an evacuated zone.  */
+  const char *evacuation_prefix;
   /* The path of the readiness check.  */
   const char *ready_path;
 
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -402,6 +402,21 @@
   return out;
 }
 
+/* Why the zone's phase forbids to send REQUEST now, or REASON_NONE.  While the
+   zone closes, requests with a key run as long as the key is on this node.  */
+static enum reason
+check_zone (struct egress *g, const struct attempt_request *request,
+            bool is_new, int64_t now_ns)
+{
+  enum evacuations_phase phase = g->hooks.zone_phase (g->hooks.arg, now_ns);
+  if (phase == EVACUATIONS_OPEN
+      || (phase == EVACUATIONS_CLOSING
+          && (!is_new || request->key != ATTEMPT_NO_KEY)))
+    return REASON_NONE;
+  counter_add (COUNTER_evacuated_refusals_total, 1);
+  return REASON_ZONE_EVACUATED;
+}
+
 static void
 start_job (struct egress_job *job, int64_t now_ns)
 {
@@ -415,6 +430,8 @@
     refusal_reason = REASON_DEADLINE;
   else if (r->key != ATTEMPT_NO_KEY)
     refusal_reason = g->hooks.check_key (g->hooks.arg, r->key, now_ns);
+  if (refusal_reason == REASON_NONE)
+    refusal_reason = check_zone (g, r, false, now_ns);
   if (refusal_reason != REASON_NONE)
     {
       lineup_done (g->lineup, job->queue_id, false, 0);
@@ -546,6 +563,8 @@
   else if (job->request.key != ATTEMPT_NO_KEY)
     refusal_reason
         = g->hooks.check_key (g->hooks.arg, job->request.key, now_ns);
+  if (refusal_reason == REASON_NONE)
+    refusal_reason = check_zone (g, &job->request, true, now_ns);
   if (refusal_reason != REASON_NONE)
     {
       refuse_later (job, refusal_reason, CLOSED_RETRY_AFTER_NS);
@@ -596,12 +615,37 @@
   g->shutdown_ns = shutdown_ns;
 }
 
+uint32_t
+egress_refuse_waiting (struct egress *g)
+{
+  struct egress_job *job;
+  uint32_t count = 0;
+  for (; (job = lineup_pop_waiting (g->lineup)) != NULL; count++)
+    refuse_later (job, REASON_ZONE_EVACUATED, CLOSED_RETRY_AFTER_NS);
+  counter_add (COUNTER_evacuated_refusals_total, count);
+  return count;
+}
+
+uint32_t
+egress_running (const struct egress *g)
+{
+  return lineup_running (g->lineup);
+}
+
+uint32_t
+egress_waiting (const struct egress *g)
+{
+  return lineup_waiting (g->lineup);
+}
+
 struct target_load
 egress_load (const struct egress *g, int64_t now_ns)
 {
   int64_t warmup_ms = (g->view.warmup_until_ns - now_ns) / NS_PER_MS;
   return (struct target_load){
-    .accepting = g->view.phase == TARGET_SERVING,
+    .accepting
+    = g->view.phase == TARGET_SERVING
+      && g->hooks.zone_phase (g->hooks.arg, now_ns) == EVACUATIONS_OPEN,
     .slots = g->view.slots,
     .running = lineup_running (g->lineup),
     .waiting = lineup_waiting (g->lineup),
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -8,6 +8,7 @@
 
 #include "mesh/attempt.h"
 #include "mesh/dialect.h"
+#include "mesh/evacuation_phase.h"
 #include "mesh/target_state.h"
 #include <uv.h>
 
@@ -51,6 +52,8 @@
   void (*connection_refused) (void *arg);
   /* The target states that it leaves.  */
   void (*target_leaves) (void *arg);
+  /* What may be sent to the target of this node's zone.  */
+  enum evacuations_phase (*zone_phase) (void *arg, int64_t now_ns);
 };
 
 struct egress *egress_open (uv_loop_t *loop, const struct dialect *dialect,
@@ -83,6 +86,13 @@
    now on are limited to it, so that none starts that cannot end by then.  */
 void egress_set_shutdown_time (struct egress *g, int64_t shutdown_ns);
 
+/* Refuse all waiting requests, as the zone is closed.  Return their number. */
+uint32_t egress_refuse_waiting (struct egress *g);
+
+/* The number of requests that run at the target, and that wait for it.  */
+uint32_t egress_running (const struct egress *g);
+uint32_t egress_waiting (const struct egress *g);
+
 struct target_load egress_load (const struct egress *g, int64_t now_ns);
 
 /* The load of the target as a percentage of what it can do, for the placement
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -311,8 +311,16 @@
   return from_env (env)->in_flight[slot] == 0;
 }
 
+static bool
+env_is_zone_excluded (struct agent_env *env, const char *zone)
+{
+  const struct keys *k = from_env (env);
+  return k->deps.is_evacuated (k->deps.zones_arg, zone);
+}
+
 static const struct agent_env_ops env_ops = {
   .is_idle = env_is_idle,
+  .is_zone_excluded = env_is_zone_excluded,
   .send = env_send,
   .read = env_read,
   .swap = env_swap,
@@ -460,6 +468,38 @@
   update (k);
 }
 
+void
+keys_zones_changed (struct keys *k)
+{
+  if (k->agent == NULL)
+    return;
+  agent_on_zones_changed (k->agent);
+  update (k);
+}
+
+bool
+keys_can_hand_over (const struct keys *k)
+{
+  const struct cell *cell = k->agent == NULL ? NULL : agent_cell (k->agent);
+  for (uint32_t i = 0; cell != NULL && i < cell->member_count; i++)
+    {
+      const struct cell_member *m = &cell->members[i];
+      if (m->state == MEMBER_ACTIVE && !m->excluded)
+        return true;
+    }
+  /* A member that is not in the document yet, or not any more, has no keys. */
+  return cell == NULL || agent_self (k->agent) == 0;
+}
+
+uint32_t
+keys_count_owned (const struct keys *k)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < k->deps.settings->key_space; i++)
+    count += holdings_is_owned (k->holdings, i);
+  return count;
+}
+
 bool
 keys_has_left (const struct keys *k)
 {
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -36,6 +36,9 @@
   /* A new document is in force; OWN_CHANGE if this node wrote it.  */
   void (*on_published) (void *arg, bool own_change);
   void *arg;
+  /* Whether ZONE is evacuated: its members receive no keys.  */
+  bool (*is_evacuated) (void *arg, const char *zone);
+  void *zones_arg;
 };
 
 /* NULL with a message if the address for lease messages cannot be bound.  */
@@ -53,6 +56,15 @@
 /* Hand all keys over and leave the cell.  */
 void keys_leave (struct keys *k, int64_t now_ns);
 
+/* The answers of is_evacuated have changed.  */
+void keys_zones_changed (struct keys *k);
+
+/* Whether a member outside the evacuated zones can take keys.  */
+bool keys_can_hand_over (const struct keys *k);
+
+/* The number of keys that this node owns.  */
+uint32_t keys_count_owned (const struct keys *k);
+
 /* Whether this node has no keys left to hand over.  */
 bool keys_has_left (const struct keys *k);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -14,6 +14,7 @@
 #include "mesh/router.h"
 #include "mesh/spread.h"
 #include "mesh/watcher.h"
+#include "mesh/zone_gate.h"
 #include "settings/address.h"
 #include "store/worker.h"
 #include <curl/curl.h>
@@ -96,6 +97,8 @@
   uv_signal_t sigterm;
   uv_signal_t sighup;
   struct spread *spread;
+  struct zone_gate *zone_gate;
+  bool target_restarted;       /* since the keys were last joined */
   int64_t routes_requested_ns; /* when the configuration was last requested
                                   from a node */
   int64_t stopping_ns;         /* when the node began to stop; 0: it runs */
@@ -124,6 +127,7 @@
   state->watch_healthy = m->watcher != NULL && watcher_is_healthy (m->watcher);
   state->routes_version = r == NULL ? 0 : r->version;
   state->cell_serial = keys_serial (m->keys);
+  zone_gate_fill_state (m->zone_gate, state);
 }
 
 /* The target.  */
@@ -132,17 +136,44 @@
 update_target (struct mesh *m, bool restarted)
 {
   int64_t now_ns = clock_now_ns ();
+  enum keys_plan plan = m->target.phase == TARGET_SERVING
+                            ? zone_gate_keys_plan (m->zone_gate)
+                            : KEYS_LEAVE;
   egress_update_target (m->egress, &m->target, restarted);
+  m->target_restarted = m->target_restarted || restarted;
   if (is_keyed (m) && m->stopping_ns == 0)
     {
-      if (m->target.phase == TARGET_SERVING)
-        keys_join (m->keys, &m->target, restarted, now_ns);
-      else
+      if (plan == KEYS_JOIN)
+        {
+          keys_join (m->keys, &m->target, m->target_restarted, now_ns);
+          m->target_restarted = false;
+        }
+      else if (plan == KEYS_LEAVE)
         keys_leave (m->keys, now_ns);
     }
   nodes_broadcast_state (m->nodes);
 }
 
+static void
+on_zone_changed (void *arg)
+{
+  update_target (arg, false);
+}
+
+static enum evacuations_phase
+zone_phase (void *arg, int64_t now_ns)
+{
+  const struct mesh *m = arg;
+  return zone_gate_phase (m->zone_gate, now_ns);
+}
+
+static bool
+is_evacuated (void *arg, const char *zone)
+{
+  const struct mesh *m = arg;
+  return zone_gate_is_evacuated (m->zone_gate, zone);
+}
+
 static enum reason
 check_key (void *arg, int32_t key, int64_t now_ns)
 {
@@ -312,13 +343,16 @@
     }
   char *counters = counter_export ();
   char *latencies = router_metrics (m->router);
+  char *zones = zone_gate_metrics (m->zone_gate);
   GString *out = g_string_new (counters);
   g_string_append (out, latencies);
+  g_string_append (out, zones);
   http_respond (exchange, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                 out->str, out->len);
   g_string_free (out, TRUE);
   free (counters);
   g_free (latencies);
+  g_free (zones);
 }
 
 /* Configuration.  */
@@ -385,6 +419,8 @@
   *revision = 0;
   if (document_type == FRAME_DOCUMENT_CELL)
     return keys_document (m->keys, length, revision);
+  if (document_type == FRAME_DOCUMENT_EVACUATIONS)
+    return zone_gate_document (m->zone_gate, length);
   *length = r == NULL ? 0 : r->packed->len;
   return r == NULL ? NULL : r->packed->str;
 }
@@ -399,6 +435,11 @@
       apply_routes (m, text, length, node->name);
       return;
     }
+  if (document_type == FRAME_DOCUMENT_EVACUATIONS)
+    {
+      zone_gate_on_document (m->zone_gate, node, text, length);
+      return;
+    }
   uint32_t known_serial = owners_serial (m->owners, node->service);
   if (strcmp (node->service, m->settings->service) == 0)
     keys_on_document (m->keys, revision, text, length, clock_now_ns ());
@@ -445,6 +486,7 @@
       m->routes_requested_ns = now_ns;
       nodes_request_document (m->nodes, &node->address, FRAME_DOCUMENT_ROUTES);
     }
+  zone_gate_on_state (m->zone_gate, node, state);
   spread_on_notice (m->spread, node, state->cell_serial);
 }
 
@@ -476,7 +518,10 @@
     else
       {
         struct watch_update *w = (struct watch_update *)message;
-        apply_routes (m, w->text, w->length, "store");
+        if (w->zones != NULL)
+          zone_gate_on_store (m->zone_gate, w);
+        else
+          apply_routes (m, w->text, w->length, "store");
         watch_update_free (w);
       }
 }
@@ -540,6 +585,9 @@
   struct watcher_rank rank = { m->settings->name, 0, 1 };
   nodes_visit (m->nodes, count_node, &rank);
   update_watch_timeout (m, &rank);
+  zone_gate_tick (
+      m->zone_gate,
+      nodes_count_known (m->nodes, clock_now_ns () - SHARE_NODES_SPAN_NS) > 1);
   spread_retry (m->spread);
   router_tick (
       m->router,
@@ -628,6 +676,7 @@
     .key_refused = on_key_refused,
     .connection_refused = on_connection_refused,
     .target_leaves = on_target_leaves,
+    .zone_phase = zone_phase,
   };
   struct nodes_hooks nodes_hooks = {
     .arg = m,
@@ -656,12 +705,25 @@
                                  egress_http_client (m->egress),
                                  spread_request_document,
                                  spread_on_published,
-                                 m->spread };
+                                 m->spread,
+                                 is_evacuated,
+                                 m };
   struct router_deps router_deps
       = { &m->loop,  m->dialect,          s,        m->egress, m->nodes,
           m->owners, spread_on_not_owner, m->spread };
   m->keys = keys_open (&keys_deps);
   spread_set_keys (m->spread, m->keys);
+  struct zone_gate_deps zone_deps = {
+    .loop = &m->loop,
+    .settings = s,
+    .nodes = m->nodes,
+    .egress = m->egress,
+    .keys = m->keys,
+    .key_prefix = m->dialect->evacuation_prefix,
+    .arg = m,
+    .changed = on_zone_changed,
+  };
+  m->zone_gate = zone_gate_open (&zone_deps);
   m->router = router_open (&router_deps);
   return m->keys == NULL ? STATUS_SYSTEM : STATUS_OK;
 }
@@ -752,8 +814,11 @@
   if (s == STATUS_OK)
     {
       m.watch_store = dialect->open_store (settings);
-      m.watcher
-          = watcher_start (m.watch_store, dialect->configuration_key, m.inbox);
+      m.watcher = watcher_start (m.watch_store, dialect->configuration_key,
+                                 settings->evacuation_close_ms == 0
+                                     ? NULL
+                                     : dialect->evacuation_prefix,
+                                 m.inbox);
       s = m.watcher == NULL ? STATUS_SYSTEM : STATUS_OK;
     }
   if (s != STATUS_OK)
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -729,6 +729,13 @@
   return &peer->node;
 }
 
+int64_t
+nodes_sent_ns (const struct nodes *p, const char *name, int64_t clock_ns)
+{
+  const struct peer *peer = find_by_name (p, name);
+  return peer == NULL ? 0 : clock_ns - peer->clock_offset_ns;
+}
+
 static void
 broadcast (struct nodes *p, const char *zone)
 {
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -87,6 +87,12 @@
 const struct frame_node *nodes_find (const struct nodes *p, const char *name,
                                      const struct frame_state **state);
 
+/* When the node NAME sent what it marked with CLOCK_NS of its clock, on this
+   node's clock; late by at most the shortest delay of its frames.  0 if it is
+   not connected.  */
+int64_t nodes_sent_ns (const struct nodes *p, const char *name,
+                       int64_t clock_ns);
+
 /* Send this node's state now to all other nodes, or to those of its own
    zone.  */
 void nodes_broadcast_state (struct nodes *p);
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -344,10 +344,10 @@
   p->refusals++;
   p->last_refusal = *r;
   bool keyed = p->request.key != ATTEMPT_NO_KEY;
-  bool moving = r->reason == REASON_NOT_OWNER || r->reason == REASON_MOVING
-                || r->reason == REASON_LEASE_LAPSED
-                || r->reason == REASON_TARGET_DOWN
-                || r->reason == REASON_DRAINING;
+  bool moving
+      = r->reason == REASON_NOT_OWNER || r->reason == REASON_MOVING
+        || r->reason == REASON_LEASE_LAPSED || r->reason == REASON_TARGET_DOWN
+        || r->reason == REASON_DRAINING || r->reason == REASON_ZONE_EVACUATED;
   double share
       = r->reason == REASON_MOVING ? MOVE_WAIT_SHARE : OWNER_WAIT_SHARE;
   if (keyed && r->reason == REASON_NOT_OWNER)
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -14,13 +14,23 @@
    change must be in force.  */
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 800
+/* A wait that is answered later than this after it was asked for, and before
+   its end, is answered because of a change just made.  One that is answered
+   sooner may report a change that the wait before missed.  */
+#define PROMPT_MIN_NS (100 * NS_PER_MS)
 
 struct watcher
 {
   struct store *store;
   char *key;
+  char *prefix;      /* of the keys that name evacuated zones; NULL: none */
+  char *watched;     /* prefix of all watched keys */
+  GHashTable *zones; /* set of strings: what follows PREFIX */
   struct inbox *inbox;
   int64_t seen_revision; /* latest revision of the store that was seen */
+  int64_t asked_ns;      /* when the last answered wait was asked for, or the
+                            zones were listed; 0: not yet */
+  int64_t answered_ns;   /* when it was answered */
   uint32_t backoff_ms;
   uint32_t healthy;
   pthread_t thread;
@@ -30,6 +40,8 @@
 watch_update_free (struct watch_update *w)
 {
   free (w->text);
+  if (w->zones != NULL)
+    g_ptr_array_free (w->zones, TRUE);
   free (w);
 }
 
@@ -46,12 +58,63 @@
   inbox_put_blocking (w->inbox, update);
 }
 
+/* Report the zones, of which those that are new were added after SINCE_NS.  */
+static void
+post_zones (struct watcher *w, int64_t since_ns)
+{
+  struct watch_update *update = calloc (1, sizeof *update);
+  GHashTableIter iter;
+  gpointer name;
+  if (update == NULL)
+    abort ();
+  update->header.kind = INBOX_MESSAGE_NOTICE;
+  update->revision = w->seen_revision;
+  update->since_ns = since_ns;
+  update->asked_ns = w->asked_ns;
+  update->zones = g_ptr_array_new_with_free_func (g_free);
+  g_hash_table_iter_init (&iter, w->zones);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_ptr_array_add (update->zones, g_strdup (name));
+  inbox_put_blocking (w->inbox, update);
+}
+
+/* Update the zones if KEY is one of theirs.  */
+static void
+record_zone (struct watcher *w, const char *key, bool exists)
+{
+  if (w->prefix == NULL || !g_str_has_prefix (key, w->prefix))
+    return;
+  const char *name = key + strlen (w->prefix);
+  if (exists)
+    g_hash_table_add (w->zones, g_strdup (name));
+  else
+    g_hash_table_remove (w->zones, name);
+}
+
+static void
+on_poll (void *arg, const struct store_poll *poll)
+{
+  struct watcher *w = arg;
+  int64_t now_ns = clock_now_ns ();
+  bool prompt = !poll->waited && now_ns - poll->started_ns >= PROMPT_MIN_NS
+                && poll->started_ns - w->answered_ns < PROMPT_MIN_NS;
+  int64_t since_ns = prompt ? now_ns : w->asked_ns;
+  w->backoff_ms = BACKOFF_MIN_MS;
+  ck_pr_store_32 (&w->healthy, 1);
+  if (poll->revision > w->seen_revision)
+    w->seen_revision = poll->revision;
+  w->asked_ns = poll->started_ns;
+  w->answered_ns = now_ns;
+  post_zones (w, since_ns);
+}
+
 static bool
 on_change (void *arg, const char *key, const struct store_value *value)
 {
   struct watcher *w = arg;
   w->backoff_ms = BACKOFF_MIN_MS;
   ck_pr_store_32 (&w->healthy, 1);
+  record_zone (w, key, value != NULL);
   if (value == NULL)
     return true;
   if (value->revision > w->seen_revision)
@@ -88,6 +151,33 @@
   return true;
 }
 
+static bool
+on_listed (void *arg, const char *key, const struct store_value *value)
+{
+  (void)value;
+  record_zone (arg, key, true);
+  return true;
+}
+
+/* Read the key, and list the zones.  Changes made after the key was read are
+   reported by the watch again, in their order.  */
+static bool
+read_all (struct watcher *w)
+{
+  int64_t asked_ns = clock_now_ns ();
+  if (!read_key (w))
+    return false;
+  if (w->prefix == NULL)
+    return true;
+  g_hash_table_remove_all (w->zones);
+  if (w->store->ops->list (w->store, w->prefix, on_listed, w) != STATUS_OK)
+    return false;
+  int64_t since_ns = w->asked_ns;
+  w->asked_ns = asked_ns;
+  post_zones (w, since_ns);
+  return true;
+}
+
 /* The thread is never stopped, because a wait in a store call would delay the
    exit of the process.  */
 static void *
@@ -99,17 +189,18 @@
   while (true)
     {
       if (!key_read)
-        key_read = read_key (w);
+        key_read = read_all (w);
       if (!key_read)
         {
           back_off (w);
           continue;
         }
-      enum status s = w->store->ops->watch (w->store, w->key, w->seen_revision,
-                                            on_change, w, &stop_requested);
+      enum status s
+          = w->store->ops->watch (w->store, w->watched, w->seen_revision,
+                                  on_change, w, &stop_requested);
       if (s != STATUS_OK)
         log_event (EV_WATCH_LOST, "key=%s seen=%" PRId64 " cause=\"%s\"",
-                   w->key, w->seen_revision, status_message ());
+                   w->watched, w->seen_revision, status_message ());
       if (s == STATUS_STALE)
         key_read = false;
       if (s != STATUS_OK)
@@ -118,18 +209,37 @@
   return NULL;
 }
 
+/* What KEY and PREFIX have in common; freed with g_free.  */
+static char *
+common_prefix (const char *key, const char *prefix)
+{
+  size_t length = 0;
+  while (key[length] != '\0' && key[length] == prefix[length])
+    length++;
+  return g_strndup (key, length);
+}
+
 struct watcher *
-watcher_start (struct store *st, const char *key, struct inbox *inbox)
+watcher_start (struct store *st, const char *key, const char *prefix,
+               struct inbox *inbox)
 {
   struct watcher *w = g_new0 (struct watcher, 1);
   w->store = st;
   w->key = g_strdup (key);
+  w->prefix = g_strdup (prefix);
+  w->watched = prefix == NULL ? g_strdup (key) : common_prefix (key, prefix);
+  w->zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (st != NULL && prefix != NULL)
+    st->on_poll = on_poll;
   w->inbox = inbox;
   w->backoff_ms = BACKOFF_MIN_MS;
   if (st != NULL && pthread_create (&w->thread, NULL, run, w) == 0)
     return w;
   status_set (STATUS_SYSTEM, "cannot start the watch thread");
+  g_hash_table_destroy (w->zones);
   g_free (w->key);
+  g_free (w->prefix);
+  g_free (w->watched);
   g_free (w);
   return NULL;
 }
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -1,4 +1,5 @@
-/* Watches one key of the store on its own thread.  */
+/* Watches the store on its own thread: the operators' configuration and, if
+   they are in use, the evacuated zones.  */
 
 #ifndef MESH_WATCHER_H
 #define MESH_WATCHER_H
@@ -6,23 +7,32 @@
 #include "base/inbox.h"
 #include "base/mail.h"
 #include "store/store.h"
+#include <glib.h>
 #include <stdbool.h>
 
 struct watcher;
 
-/* A new value of the key; freed with watch_update_free.  */
+/* A new value of the key, or the evacuated zones; freed with
+   watch_update_free.  */
 struct watch_update
 {
   struct inbox_header header; /* INBOX_MESSAGE_NOTICE */
-  char *text;
+  char *text;                 /* NULL: the zones are reported */
   size_t length;
   int64_t revision;
+  /* What follows the prefix in its keys, as of REVISION; what is new was
+     written after SINCE_NS, or at any time if that is 0.  */
+  GPtrArray *zones;
+  int64_t since_ns;
+  int64_t asked_ns; /* the store was asked then */
 };
 
 /* Watch KEY in ST, which the watcher owns, and put every new value into INBOX.
-   NULL with a message if that fails.  */
+   With PREFIX, which may be NULL, the keys that begin with it are also
+   watched, by the same watch, and reported after each answered wait.  NULL
+   with a message if that fails.  */
 struct watcher *watcher_start (struct store *st, const char *key,
-                               struct inbox *inbox);
+                               const char *prefix, struct inbox *inbox);
 
 /* Whether the store answered the last call.  Callable from any thread.  */
 bool watcher_is_healthy (const struct watcher *w);
--- a/src/own/agent.c
+++ b/src/own/agent.c
@@ -227,6 +227,18 @@
       = now_ns + (int64_t)agent_random (a, (uint64_t)max_delay_ns);
 }
 
+void
+agent_on_zones_changed (struct agent *a)
+{
+  if (a->cell == NULL || a->env->ops->is_zone_excluded == NULL)
+    return;
+  for (uint32_t i = 0; i < a->cell->member_count; i++)
+    {
+      struct cell_member *m = &a->cell->members[i];
+      m->excluded = a->env->ops->is_zone_excluded (a->env, m->zone);
+    }
+}
+
 void
 agent_apply_document (struct agent *a, struct cell *cell, int64_t revision,
                       const char *json, size_t length, int64_t now_ns)
@@ -234,6 +246,7 @@
   struct agent_store *st = &a->store;
   free (a->cell);
   a->cell = cell;
+  agent_on_zones_changed (a);
   a->revision = revision;
   st->document_absent = false;
   bool settled = st->unsettled && revision > st->unsettled_expected;
--- a/src/own/agent.h
+++ b/src/own/agent.h
@@ -111,6 +111,8 @@
   /* Whether no request is in flight for SLOT.  NULL: not known, and any slot
      may be moved for balance.  */
   bool (*is_idle) (struct agent_env *env, uint32_t slot);
+  /* Whether members of ZONE receive no slots.  NULL: no zone is excluded.  */
+  bool (*is_zone_excluded) (struct agent_env *env, const char *zone);
 };
 
 /* Base of every environment, which has it as its first member.  */
@@ -221,6 +223,9 @@
 void agent_count_key (struct agent *agent, const char *key, size_t length,
                       uint32_t requests);
 
+/* The answers of is_zone_excluded have changed.  */
+void agent_on_zones_changed (struct agent *agent);
+
 /* The newest document, or NULL before the first one.  */
 const struct cell *agent_cell (const struct agent *agent);
 
--- a/src/own/agent_move.c
+++ b/src/own/agent_move.c
@@ -79,7 +79,8 @@
 agent_may_receive_slots (const struct cell *cell, uint32_t incarnation)
 {
   const struct cell_member *m = cell_member (cell, incarnation);
-  return incarnation == 0 || (m != NULL && m->state == MEMBER_ACTIVE);
+  return incarnation == 0
+         || (m != NULL && m->state == MEMBER_ACTIVE && !m->excluded);
 }
 
 /* Whether some receiver of the move may still receive slots.  */
--- a/src/own/cell.h
+++ b/src/own/cell.h
@@ -47,6 +47,9 @@
   char zone[SETTINGS_NAME_BYTES];
   char rack[SETTINGS_NAME_BYTES];
   char place[CELL_PLACE_BYTES];
+  /* It receives no slots while others can, as its zone is evacuated.  Not part
+     of the document: set by each reader.  */
+  bool excluded;
 };
 
 struct cell_slot
--- a/src/own/hot.c
+++ b/src/own/hot.c
@@ -68,7 +68,8 @@
 static bool
 can_receive (const struct hot_plan *p, member_index i)
 {
-  return p->cell->members[i].state == MEMBER_ACTIVE && p->load[i] > 0;
+  return p->cell->members[i].state == MEMBER_ACTIVE
+         && !p->cell->members[i].excluded && p->load[i] > 0;
 }
 
 /* Choose the receiver of the key K among the members within
--- a/src/own/place.c
+++ b/src/own/place.c
@@ -52,17 +52,29 @@
   return known == 0 ? 0 : sum / known;
 }
 
+/* Whether every active member is excluded.  Slots then have owners as if none
+   were.  */
+static bool
+are_all_excluded (const struct cell *cell)
+{
+  for (uint32_t i = 0; i < cell->member_count; i++)
+    if (cell->members[i].state == MEMBER_ACTIVE && !cell->members[i].excluded)
+      return false;
+  return true;
+}
+
 static void
 fill_shares (const struct cell *cell, const struct place_loads *loads,
              enum settings_policy policy, struct shares *shares)
 {
   bool by_load = loads != NULL && policy == POLICY_IMBALANCE_FIRST;
   uint64_t mean = by_load ? mean_load (cell, loads) : 0;
+  bool all_excluded = are_all_excluded (cell);
   memset (shares, 0, sizeof *shares);
   for (uint32_t i = 0; i < cell->member_count; i++)
     {
       const struct cell_member *m = &cell->members[i];
-      if (m->state != MEMBER_ACTIVE)
+      if (m->state != MEMBER_ACTIVE || (m->excluded && !all_excluded))
         continue;
       shares->weight[i]
           = effective_weight (m, by_load ? loads->load[i] : 0, mean);
@@ -357,12 +369,13 @@
   return known * KNOWN_LOADS_DENOMINATOR >= active * KNOWN_LOADS_NUMERATOR;
 }
 
-/* Whether member I takes part in balancing by load: it is active and its load
-   is known.  */
+/* Whether member I takes part in balancing by load: it is active, not excluded
+   and its load is known.  */
 static bool
 participates (const struct cell *cell, const int64_t *load, member_index i)
 {
-  return cell->members[i].state == MEMBER_ACTIVE && load[i] > 0;
+  return cell->members[i].state == MEMBER_ACTIVE && !cell->members[i].excluded
+         && load[i] > 0;
 }
 
 /* The member with the lowest load that has an allowance left.  */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -72,6 +72,8 @@
   /* retry */
   uint32_t retry_ratio_pct;
   uint32_t retry_stored;
+  /* evacuation */
+  uint32_t evacuation_close_ms; /* 0: zones are never evacuated */
   /* placement and log */
   enum settings_policy policy;
   enum log_level log_level;
--- a/test/lib/own_world.c
+++ b/test/lib/own_world.c
@@ -467,8 +467,8 @@
 }
 
 static const struct agent_env_ops env_ops
-    = { env_send,  env_read,  env_swap, env_fetch,  env_publish,
-        env_lease, env_close, env_open, env_notify, NULL };
+    = { env_send,  env_read, env_swap,   env_fetch, env_publish, env_lease,
+        env_close, env_open, env_notify, NULL,      NULL };
 
 /* The store.  */
 
--- a/test/script/mesh_lib.sh
+++ b/test/script/mesh_lib.sh
@@ -5,15 +5,15 @@
 . "$(dirname "${BASH_SOURCE[0]}")/standin.sh"
 store=$((base + 3100))
 
-write_settings () { # write_settings NUMBER SERVICE
+write_settings () { # write_settings NUMBER SERVICE [ZONE [BOUNDS]]
   local p=$((base + 3100 + 10 * $1))
   cat >"$work/node$1.yaml" <<END
 node:
   name: node-$1
   region: here
-  zone: here
+  zone: ${3:-here}
   service: $2
-  bounds: '{"hold_max_ms":2000,"grace_s":4,"budget_ratio":0.2,"budget_slack":32}'
+  bounds: '{"hold_max_ms":2000,"grace_s":4,"budget_ratio":0.2,"budget_slack":32${4:+,$4}}'
 listen:
   callers: 127.0.0.1:$((p + 3))
   ready: 127.0.0.1:$((p + 4))
--- a/test/standin/standin_platform.c
+++ b/test/standin/standin_platform.c
@@ -10,7 +10,9 @@
    /control/N/COMMAND changes target N: "drain" makes it report that it drains,
    "reborn" restarts it as a new instance, "limit=R" makes its answers state a
    limit of R requests a second ("limit=" none), and "leaving" makes them state
-   that it leaves, which its heartbeats do not.  Each request that runs is
+   that it leaves, which its heartbeats do not.  PUT /put?key=K and POST
+   /delete?key=K are writes by an operator; after POST /down every call of the
+   store is answered with 503 until POST /up.  Each request that runs is
    printed as "run REQUEST TARGET KEY AT", AT in milliseconds of the monotonic
    clock.  */
 
@@ -95,6 +97,7 @@
 static int64_t revision = 1;
 static int64_t last_lease = 100;
 static GPtrArray *targets;
+static bool store_down;
 
 /* Answers.  */
 
@@ -344,14 +347,18 @@
   http_respond (x, 200, NULL, "", 0);
 }
 
-/* PUT /put?key=K: a write by an operator.  */
+/* PUT /put?key=K or POST /delete?key=K: a write by an operator.  */
 static void
-operator_put (struct http_server_exchange *x)
+operator_write (struct http_server_exchange *x, bool exists)
 {
   char *key = query (x, "key");
-  char *value = g_base64_encode ((const guchar *)x->body->str, x->body->len);
+  char *value
+      = exists ? g_base64_encode ((const guchar *)x->body->str, x->body->len)
+               : NULL;
   revision++;
   put_item (key, value);
+  if (!exists)
+    g_hash_table_remove (items, key);
   http_respond (x, 200, NULL, "", 0);
   notify_watches ();
   g_free (key);
@@ -363,7 +370,9 @@
 {
   const char *path = x->request_target->str;
   (void)arg;
-  if (g_str_has_prefix (path, "/-/kv-key?"))
+  if (store_down && g_str_has_prefix (path, "/-/"))
+    http_respond (x, 503, NULL, "", 0);
+  else if (g_str_has_prefix (path, "/-/kv-key?"))
     read_item (x);
   else if (g_str_has_prefix (path, "/-/kv-range?"))
     list_items (x);
@@ -380,7 +389,14 @@
   else if (g_str_has_prefix (path, "/control/"))
     handle_control (x);
   else if (g_str_has_prefix (path, "/put?"))
-    operator_put (x);
+    operator_write (x, true);
+  else if (g_str_has_prefix (path, "/delete?"))
+    operator_write (x, false);
+  else if (strcmp (path, "/down") == 0 || strcmp (path, "/up") == 0)
+    {
+      store_down = strcmp (path, "/down") == 0;
+      http_respond (x, 200, NULL, "", 0);
+    }
   else
     http_respond (x, 404, NULL, "", 0);
 }
