Limit the rate of requests to a cold target

limit/cold keeps the cold time and a token bucket at the target's rate; limit/lineup starts requests at the lower of this rate and a stated limit. Starts of the second before the target was known to be cold count, and a restarted node takes the first second as used up. While it is cold, waiting requests that cannot start in time are refused early. Where node.bounds has warmup_over, a cold target gets nothing before the configuration states its rate (target.cold_needs_policy).

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -1,6 +1,7 @@
 #include "limit/lineup.h"
 
 #include "base/clock.h"
+#include "limit/cold.h"
 #include "limit/pace.h"
 #include <glib.h>
 #include <math.h>
@@ -89,7 +90,9 @@
   GHashTable *routes;  /* struct route by route_hash */
   uint32_t slots;
   uint32_t running;
-  struct pace pace;
+  struct pace pace; /* under a stated limit */
+  struct cold cold;
+  double mean_service_ns; /* over all routes; 0: not known */
   lineup_id last_id;
   uint32_t first_rank;        /* the most urgent one in the mix */
   uint32_t latency_level_max; /* the highest one in the mix */
@@ -114,6 +117,7 @@
   l->routes = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   l->slowdown = 1;
   pace_init (&l->pace);
+  cold_init (&l->cold);
   l->first_rank = RANKS;
   lineup_set_slots (l, slots);
   return l;
@@ -149,10 +153,40 @@
   pace_clear_limit (&l->pace);
 }
 
+struct cold *
+lineup_cold (struct lineup *l)
+{
+  return &l->cold;
+}
+
+/* The starts a second that a stated limit and the cold time allow.  */
+static double
+start_rate (const struct lineup *l)
+{
+  return fmin (pace_rate (&l->pace), cold_rate (&l->cold));
+}
+
+/* How long the next start has to wait for them.  */
+static int64_t
+start_wait_ns (const struct lineup *l, int64_t now_ns)
+{
+  int64_t pace_ns = pace_wait_ns (&l->pace, now_ns);
+  int64_t cold_ns = cold_wait_ns (&l->cold, now_ns);
+  return pace_ns > cold_ns ? pace_ns : cold_ns;
+}
+
+static void
+advance_cold (struct lineup *l, int64_t now_ns)
+{
+  double service_ns = l->mean_service_ns > 0 ? l->mean_service_ns
+                                             : (double)DEFAULT_SERVICE_NS;
+  cold_advance (&l->cold, l->slots * (double)NS_PER_S / service_ns, now_ns);
+}
+
 int64_t
 lineup_start_interval_ns (const struct lineup *l)
 {
-  return (int64_t)((double)NS_PER_S / pace_rate (&l->pace));
+  return (int64_t)((double)NS_PER_S / start_rate (l));
 }
 
 /* The time for which a request of SERVICE_NS holds up the next one, on
@@ -359,7 +393,7 @@
 next_start_ns (const struct lineup *l, int64_t now_ns)
 {
   int64_t slot_ns = next_free_slot_ns (l);
-  int64_t pace_ns = pace_wait_ns (&l->pace, now_ns);
+  int64_t pace_ns = start_wait_ns (l, now_ns);
   return slot_ns > pace_ns ? slot_ns : pace_ns;
 }
 
@@ -405,14 +439,16 @@
 lineup_utilization (const struct lineup *l, int64_t now_ns)
 {
   double used = (double)(l->running + l->waiting->len) / l->slots;
-  return l->pace.limited ? fmax (used, offered_load (l, RANKS, now_ns)) : used;
+  return isfinite (start_rate (l))
+             ? fmax (used, offered_load (l, RANKS, now_ns))
+             : used;
 }
 
 /* Whether a request may start now.  */
 static bool
 may_start (const struct lineup *l, int64_t now_ns)
 {
-  return l->running < l->slots && pace_wait_ns (&l->pace, now_ns) == 0;
+  return l->running < l->slots && start_wait_ns (l, now_ns) == 0;
 }
 
 static void
@@ -422,6 +458,7 @@
   e->started_ns = now_ns;
   l->running++;
   pace_record_start (&l->pace, now_ns);
+  cold_record_start (&l->cold, now_ns);
 }
 
 static void
@@ -525,6 +562,7 @@
     .rank = rank_of (route, r, now_ns),
   };
   update_mix (l, &offered, now_ns);
+  advance_cold (l, now_ns);
   struct lineup_decision d = decide_offer (l, &offered, now_ns);
   if (d.verdict == LINEUP_REFUSE)
     return d;
@@ -573,20 +611,34 @@
   return 0;
 }
 
+/* The earliest start of the waiting request at I.  While the target is cold
+   the whole queue moves at its rate, so that what cannot start in time is
+   known long before it is late.  */
+static int64_t
+earliest_start_ns (const struct lineup *l, guint i, int64_t now_ns)
+{
+  if (l->cold.phase != COLD_COLD)
+    return now_ns;
+  return now_ns + start_wait_ns (l, now_ns) + i * lineup_start_interval_ns (l);
+}
+
 struct lineup_decision
 lineup_next (struct lineup *l, int64_t now_ns)
 {
   bool overloaded = l->waiting->len > 0 && is_overloaded (l, now_ns);
+  advance_cold (l, now_ns);
   for (guint i = 0; i < l->waiting->len; i++)
     {
       struct entry *e = waiting_at (l, i);
-      if (now_ns < latest_start_ns (l, e, overloaded))
+      if (earliest_start_ns (l, i, now_ns)
+          < latest_start_ns (l, e, overloaded))
         continue;
       struct lineup_request r = e->request;
+      enum reason reason = l->cold.phase == COLD_COLD ? REASON_TARGET_LIMIT
+                                                      : REASON_TARGET_BUSY;
       g_ptr_array_remove_index (l->waiting, i);
       g_hash_table_remove (l->entries, GUINT_TO_POINTER (e->id));
-      return refuse (&r, REASON_TARGET_BUSY,
-                     lineup_expected_wait_ns (l, now_ns));
+      return refuse (&r, reason, lineup_expected_wait_ns (l, now_ns));
     }
   if (l->waiting->len == 0 || !may_start (l, now_ns))
     return (struct lineup_decision){ .verdict = LINEUP_NOTHING };
@@ -614,7 +666,7 @@
     }
   if (l->waiting->len > 0 && l->running < l->slots)
     {
-      int64_t start = now_ns + pace_wait_ns (&l->pace, now_ns);
+      int64_t start = now_ns + start_wait_ns (l, now_ns);
       if (start < first)
         first = start;
     }
@@ -631,6 +683,10 @@
   route->mean_ns += ((double)service_ns - route->mean_ns) * weight;
   ratio = fmin (SLOWDOWN_SAMPLE_MAX, fmax (SLOWDOWN_SAMPLE_MIN, ratio));
   l->slowdown += (ratio - l->slowdown) * SLOWDOWN_WEIGHT;
+  if (l->mean_service_ns == 0)
+    l->mean_service_ns = (double)service_ns;
+  l->mean_service_ns
+      += ((double)service_ns - l->mean_service_ns) * ROUTE_MEAN_WEIGHT;
 }
 
 void
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -15,8 +15,9 @@
    elsewhere, have a much shorter target latency than other requests.  They may
    wait until their deadline.
 
-   If the target limits the requests that it takes a second, they start no
-   faster than that, and wait or are refused as when the slots are full.
+   If the target limits the requests that it takes a second, or is cold, they
+   start no faster than that, and wait or are refused as when the slots are
+   full.
 
    Service times are estimated for each route, and scaled by the present
    slowdown of the target, which all routes share.
@@ -26,6 +27,7 @@
 #ifndef LIMIT_LINEUP_H
 #define LIMIT_LINEUP_H
 
+#include "limit/cold.h"
 #include "limit/reason.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -77,6 +79,10 @@
                        int64_t now_ns);
 void lineup_clear_limit (struct lineup *l);
 
+/* What is known of the cold time of the target.  Requests are started at the
+   rate that it allows, or at that of a limit if that is lower.  */
+struct cold *lineup_cold (struct lineup *l);
+
 /* The time between two requests under the limit; 0: there is none.  */
 int64_t lineup_start_interval_ns (const struct lineup *l);
 
--- a/src/limit/pace.c
+++ b/src/limit/pace.c
@@ -65,18 +65,25 @@
   return sum;
 }
 
+/* Set the rate to RATE if that does not lower it.  */
+static bool
+raise_rate (struct pace *p, double rate, int64_t now_ns)
+{
+  if (!p->limited || rate < p->rate_max)
+    return false;
+  p->tokens = tokens_at (p, now_ns);
+  p->tokens_ns = now_ns;
+  p->rate_max = rate;
+  return true;
+}
+
 void
 pace_set_limit (struct pace *p, double rate_max, int64_t since_ns,
                 int64_t now_ns)
 {
   double rate = fmax (rate_max, RATE_MIN);
-  if (p->limited && rate >= p->rate_max)
-    {
-      p->tokens = tokens_at (p, now_ns);
-      p->tokens_ns = now_ns;
-      p->rate_max = rate;
-      return;
-    }
+  if (raise_rate (p, rate, now_ns))
+    return;
   advance (p, now_ns);
   int64_t earliest_ns = now_ns - (PACE_SLICES * SLICE_NS - SETTLE_NS);
   if (since_ns < earliest_ns)
@@ -91,6 +98,48 @@
   p->tokens_ns = now_ns;
 }
 
+/* The starts that may be made in SPAN_NS at the rate of P.  */
+static double
+starts_in (const struct pace *p, int64_t span_ns)
+{
+  return p->rate_max * (double)span_ns / (double)NS_PER_S;
+}
+
+void
+pace_set_strict_limit (struct pace *p, double rate_max, int64_t now_ns)
+{
+  double rate = fmax (rate_max, RATE_MIN);
+  if (raise_rate (p, rate, now_ns))
+    return;
+  advance (p, now_ns);
+  p->limited = true;
+  p->rate_max = rate;
+  double tokens = burst_of (p);
+  for (int64_t i = (now_ns - SETTLE_NS) / SLICE_NS; i <= p->last_slice; i++)
+    {
+      /* Starts count at the end of their slice, so that none is forgotten
+         early.  */
+      int64_t end_ns
+          = (i + 1) * SLICE_NS < now_ns ? (i + 1) * SLICE_NS : now_ns;
+      tokens
+          = fmin (burst_of (p), tokens + starts_in (p, end_ns - i * SLICE_NS));
+      tokens -= p->starts[i % PACE_SLICES];
+    }
+  /* After SETTLE_NS no span of that length contains an earlier start.  */
+  p->tokens = fmax (tokens, 1 - starts_in (p, SETTLE_NS));
+  p->tokens_ns = now_ns;
+}
+
+void
+pace_hold (struct pace *p, int64_t until_ns, int64_t now_ns)
+{
+  if (!p->limited)
+    return;
+  p->tokens
+      = fmin (tokens_at (p, now_ns), 1 - starts_in (p, until_ns - now_ns));
+  p->tokens_ns = now_ns;
+}
+
 void
 pace_clear_limit (struct pace *p)
 {
--- a/src/limit/pace.h
+++ b/src/limit/pace.h
@@ -40,6 +40,15 @@
 void pace_set_limit (struct pace *p, double rate_max, int64_t since_ns,
                      int64_t now_ns);
 
+/* The same for a limit that counts the starts of the last second as if it had
+   been in force then: any span of T seconds that contains a later start has at
+   most RATE * (T + 1/4) + 1 starts, if T is at most 1.  A higher rate than the
+   one in force adds no starts by itself.  */
+void pace_set_strict_limit (struct pace *p, double rate_max, int64_t now_ns);
+
+/* Allow no start before UNTIL_NS, which is after NOW_NS.  */
+void pace_hold (struct pace *p, int64_t until_ns, int64_t now_ns);
+
 /* There is no limit any more.  */
 void pace_clear_limit (struct pace *p);
 
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -28,6 +28,10 @@
 /* Interval of the log lines that tell how a target's limit is used.  */
 #define USAGE_INTERVAL_NS (1 * NS_PER_S)
 
+/* Load of a cold target for the placement of keys: as a full one, so that it
+   gets no keys while others are warm.  */
+#define COLD_UTILIZATION_PCT 100
+
 struct egress
 {
   uv_loop_t *loop;
@@ -47,6 +51,10 @@
   uint32_t usage_sent;
   uint32_t usage_from_peers;
   uint32_t job_count;
+  bool cold_needs_policy; /* a cold target gets nothing before its rate is
+                             known */
+  bool has_policy;
+  bool was_cold; /* as last told by the hook */
 };
 
 struct egress_job
@@ -219,6 +227,49 @@
     g->hooks.target_leaves (g->hooks.arg);
 }
 
+/* Cold targets.  */
+
+static bool
+is_cold (const struct egress *g, int64_t now_ns)
+{
+  return lineup_cold (g->lineup)->until_ns > now_ns;
+}
+
+/* Whether the target may be cold and its rate is not known yet.  The node has
+   just started: requests of other nodes may come before the configuration.  */
+static bool
+waits_for_policy (const struct egress *g, int64_t now_ns)
+{
+  return g->cold_needs_policy && !g->has_policy && is_cold (g, now_ns);
+}
+
+/* Report that the target became cold or warm.  */
+static void
+notice_cold (struct egress *g, int64_t now_ns)
+{
+  const struct cold *c = lineup_cold (g->lineup);
+  bool cold = c->rate_max > 0 && is_cold (g, now_ns);
+  if (cold == g->was_cold)
+    return;
+  g->was_cold = cold;
+  if (cold)
+    log_event (EV_TARGET_COLD, "target=%s left_ms=%d rate=%.3f source=%s",
+               g->view.id, (int)((c->until_ns - now_ns) / NS_PER_MS),
+               c->rate_max, cold_source_name (c->source));
+  else
+    log_event (EV_TARGET_WARM, "target=%s running=%u waiting=%u", g->view.id,
+               lineup_running (g->lineup), lineup_waiting (g->lineup));
+  g->hooks.cold_changed (g->hooks.arg, cold);
+}
+
+static void
+learn_cold (struct egress *g, enum cold_source source, int64_t until_ns,
+            int64_t now_ns)
+{
+  cold_learn (lineup_cold (g->lineup), source, until_ns, now_ns);
+  notice_cold (g, now_ns);
+}
+
 /* Count the request that is sent at NOW_NS, and log once a second how many
    were sent to a target that limits them.  */
 static void
@@ -243,6 +294,8 @@
   g->usage_from_peers += r->from_peer;
   if (g->stated.terms.limited)
     counter_add (COUNTER_target_limited_sends_total, 1);
+  if (lineup_cold (g->lineup)->phase == COLD_COLD)
+    counter_add (COUNTER_target_cold_sends_total, 1);
 }
 
 static struct attempt_result
@@ -411,6 +464,8 @@
   enum reason refusal_reason = REASON_NONE;
   if (g->view.phase != TARGET_SERVING)
     refusal_reason = REASON_TARGET_DOWN;
+  else if (waits_for_policy (g, now_ns))
+    refusal_reason = REASON_TARGET_LIMIT;
   else if (left_ms < SEND_TIME_LEFT_MIN_MS)
     refusal_reason = REASON_DEADLINE;
   else if (r->key != ATTEMPT_NO_KEY)
@@ -484,6 +539,8 @@
   g->client = http_client_new (loop, &settings->target,
                                settings->target_slots + SPARE_CONNECTIONS);
   g->lineup = lineup_new (settings->target_slots);
+  g->cold_needs_policy = settings->cold_needs_policy;
+  cold_assume_used (lineup_cold (g->lineup), clock_now_ns ());
   g_queue_init (&g->refused_jobs);
   uv_timer_init (loop, &g->queue_timer);
   uv_idle_init (loop, &g->refusal_idle);
@@ -497,21 +554,46 @@
                       bool restarted)
 {
   struct egress_job *job;
+  int64_t now_ns = clock_now_ns ();
+  bool is_report = view->warmup_until_ns != g->view.warmup_until_ns;
   g->view = *view;
   lineup_set_slots (g->lineup, view->slots);
   if (restarted)
     {
       http_client_reset (g->client, "restarted");
       g->failure_rate = 0;
-      stated_terms_reset (&g->stated, clock_now_ns ());
+      stated_terms_reset (&g->stated, now_ns);
       lineup_clear_limit (g->lineup);
+      cold_reset (lineup_cold (g->lineup));
     }
+  if (is_report)
+    learn_cold (g, COLD_REPORTED, view->warmup_until_ns, now_ns);
   if (view->phase != TARGET_SERVING)
     while ((job = lineup_pop_waiting (g->lineup)) != NULL)
       refuse_later (job, REASON_DRAINING, CLOSED_RETRY_AFTER_NS);
   run_queue (g);
 }
 
+void
+egress_set_policy (struct egress *g, const struct service_policy *policy,
+                   int64_t now_ns)
+{
+  g->has_policy = true;
+  cold_set_policy (lineup_cold (g->lineup), policy->warmup_rate_max,
+                   policy->warmup_ms * NS_PER_MS, now_ns);
+  notice_cold (g, now_ns);
+}
+
+void
+egress_tick (struct egress *g, int64_t now_ns)
+{
+  notice_cold (g, now_ns);
+  /* A rising limit starts waiting requests earlier than the queue's timer
+     expects.  */
+  if (lineup_cold (g->lineup)->phase != COLD_WARM)
+    run_queue (g);
+}
+
 void
 egress_adopt_terms (struct egress *g, const struct target_terms *terms,
                     int64_t now_ns)
@@ -543,6 +625,8 @@
   if (g->view.phase != TARGET_SERVING)
     refusal_reason = g->view.phase == TARGET_LEAVING ? REASON_DRAINING
                                                      : REASON_TARGET_DOWN;
+  else if (waits_for_policy (g, now_ns))
+    refusal_reason = REASON_TARGET_LIMIT;
   else if (job->request.key != ATTEMPT_NO_KEY)
     refusal_reason
         = g->hooks.check_key (g->hooks.arg, job->request.key, now_ns);
@@ -618,6 +702,8 @@
 uint32_t
 egress_utilization_pct (const struct egress *g, int64_t now_ns)
 {
+  if (g->was_cold)
+    return COLD_UTILIZATION_PCT;
   return (uint32_t)(lineup_utilization (g->lineup, now_ns) * 100);
 }
 
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -51,6 +51,8 @@
   void (*connection_refused) (void *arg);
   /* The target states that it leaves.  */
   void (*target_leaves) (void *arg);
+  /* The target became cold, or warm.  */
+  void (*cold_changed) (void *arg, bool cold);
 };
 
 struct egress *egress_open (uv_loop_t *loop, const struct dialect *dialect,
@@ -63,6 +65,13 @@
 void egress_update_target (struct egress *g, const struct target_view *view,
                            bool restarted);
 
+/* Use POLICY of the target's service from now on.  */
+void egress_set_policy (struct egress *g, const struct service_policy *policy,
+                        int64_t now_ns);
+
+/* Call it a few times a second.  */
+void egress_tick (struct egress *g, int64_t now_ns);
+
 /* Use the terms of the target that another node was told, unless the target
    has stated some to this node.  */
 void egress_adopt_terms (struct egress *g, const struct target_terms *terms,
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -104,12 +104,19 @@
 
 /* State reported to other nodes.  */
 
+/* The policy of the target's service; NULL: not known.  */
+static const struct service_policy *
+own_policy (const struct mesh *m)
+{
+  return routes_service_policy (router_routes (m->router),
+                                m->settings->service);
+}
+
 static bool
 is_keyed (const struct mesh *m)
 {
-  const struct routes *r = router_routes (m->router);
-  int i = r == NULL ? -1 : routes_find_service (r, m->settings->service);
-  return i >= 0 && g_array_index (r->services, struct service_policy, i).keyed;
+  const struct service_policy *policy = own_policy (m);
+  return policy != NULL && policy->keyed;
 }
 
 static void
@@ -195,6 +202,14 @@
   update_target (m, false);
 }
 
+static void
+on_cold_changed (void *arg, bool cold)
+{
+  struct mesh *m = arg;
+  (void)cold;
+  nodes_broadcast_state (m->nodes);
+}
+
 /* Use TERMS, which another node was told, if they are those of this node's
    target.  This node may have started after they were stated.  */
 static void
@@ -348,6 +363,8 @@
   m->limits = r->limits;
   router_set_routes (m->router, r);
   routes_unref (r);
+  if (own_policy (m) != NULL)
+    egress_set_policy (m->egress, own_policy (m), clock_now_ns ());
   if (m->target.phase == TARGET_SERVING)
     update_target (m, false);
   else
@@ -541,6 +558,7 @@
   nodes_visit (m->nodes, count_node, &rank);
   update_watch_timeout (m, &rank);
   spread_retry (m->spread);
+  egress_tick (m->egress, clock_now_ns ());
   router_tick (
       m->router,
       nodes_count_known (m->nodes, clock_now_ns () - SHARE_NODES_SPAN_NS));
@@ -628,6 +646,7 @@
     .key_refused = on_key_refused,
     .connection_refused = on_connection_refused,
     .target_leaves = on_target_leaves,
+    .cold_changed = on_cold_changed,
   };
   struct nodes_hooks nodes_hooks = {
     .arg = m,
--- a/src/mesh/routes.c
+++ b/src/mesh/routes.c
@@ -53,6 +53,13 @@
   return -1;
 }
 
+const struct service_policy *
+routes_service_policy (const struct routes *r, const char *name)
+{
+  int i = r == NULL ? -1 : routes_find_service (r, name);
+  return i < 0 ? NULL : &g_array_index (r->services, struct service_policy, i);
+}
+
 static bool
 host_matches (const char *pattern, const char *host)
 {
--- a/src/mesh/routes.h
+++ b/src/mesh/routes.h
@@ -14,7 +14,8 @@
 
 enum
 {
-  ROUTE_SERVICES_MAX = 8
+  ROUTE_SERVICES_MAX = 8,
+  SERVICE_PATH_BYTES = 128
 };
 
 struct service_policy
@@ -22,6 +23,10 @@
   char name[SETTINGS_NAME_BYTES];
   bool keyed;               /* each of its keys is owned by one target */
   uint32_t connections_max; /* that one target accepts */
+  /* Requests a second that a target takes while it is cold; 0: any number.  */
+  double warmup_rate_max;
+  uint32_t warmup_ms; /* how long a target is cold after its start */
+  char health_path[SERVICE_PATH_BYTES]; /* of its health check */
 };
 
 /* A service of a route and its weight.  */
@@ -68,6 +73,10 @@
 /* The index of the service NAME, or -1.  */
 int routes_find_service (const struct routes *r, const char *name);
 
+/* The policy of the service NAME, or NULL.  */
+const struct service_policy *routes_service_policy (const struct routes *r,
+                                                    const char *name);
+
 /* The route of HOST (with or without a port) and PATH with the longest
    matching prefix.  NULL if there is none.  */
 struct route *routes_find (const struct routes *r, const char *host,
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -52,6 +52,9 @@
   uint32_t target_slots;       /* concurrency limit of the target */
   uint32_t target_connections; /* connection limit of the target */
   bool target_fenced;          /* the target rejects stale fencing tokens */
+  /* A cold target gets no requests before the configuration states its
+     rate.  */
+  bool cold_needs_policy;
   /* store */
   struct settings_address stores[SETTINGS_STORES_MAX];
   uint32_t store_count;
