State the rate of a node's link, and count transfers in the choice of a target

Cause: nodes know nothing of each other's links, so that bodies of 60 kB go to targets behind 10 Mbit/s as readily as to any other.

Change: settings node.link_mbps and node.cpu_share, decimals as the platform writes them. A node that states a rate reports it in its state. The expected answer of a candidate includes the transfer of a body over 16 kB over the slower of both links, and what the other node's link has yet to receive, bodies sent since its report included. Without the setting nothing changes.

--- a/src/mesh/balance.c
+++ b/src/mesh/balance.c
@@ -122,6 +122,7 @@
   uint32_t in_flight
       = c->load.running + c->load.waiting + c->sent_since_report;
   double wait_ns = (double)c->load.queue_wait_ms * NS_PER_MS;
+  wait_ns += (double)c->transfer_ns;
   if (c->load.warmup_remaining_ms > 0)
     service_ns *= WARMUP_FACTOR;
   wait_ns += (double)c->sent_since_report
--- a/src/mesh/balance.h
+++ b/src/mesh/balance.h
@@ -49,6 +49,8 @@
   bool already_tried; /* an earlier attempt of this request went there */
   struct target_load load;
   uint32_t sent_since_report; /* requests sent there since LOAD was reported */
+  int64_t transfer_ns; /* time until the request has arrived there; 0: at once
+                          or not known */
 };
 
 /* The index of the candidate that gets a request of the route ROUTE_HASH whose
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -641,7 +641,7 @@
   };
   m->egress = egress_open (&m->loop, m->dialect, s, &egress_hooks);
   m->owners = owners_new ();
-  m->nodes = nodes_open (&m->loop, &m->self, &nodes_hooks);
+  m->nodes = nodes_open (&m->loop, &m->self, s->link_kbps, &nodes_hooks);
   m->worker = store_worker_start (m->dialect->open_store (s));
   if (m->nodes == NULL || m->worker == NULL)
     return STATUS_SYSTEM;
@@ -763,10 +763,12 @@
     }
   log_event (EV_STARTED,
              "node=%s service=%s zone=%s run=%" PRIu64
-             " drain_ms=%u hold_max_ms=%u retry_pct=%u retry_stored=%u",
+             " drain_ms=%u hold_max_ms=%u retry_pct=%u retry_stored=%u"
+             " link_kbps=%u cpu_thousandths=%u",
              settings->name, settings->service, settings->zone,
              m.self.start_id, settings->drain_ms, settings->hold_max_ms,
-             settings->retry_ratio_pct, settings->retry_stored);
+             settings->retry_ratio_pct, settings->retry_stored,
+             settings->link_kbps, settings->cpu_share_thousandths);
   start_events (&m);
   uv_run (&m.loop, UV_RUN_DEFAULT);
   log_counters (&m);
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/log.h"
 #include "http/net.h"
+#include "limit/link.h"
 #include "settings/address.h"
 #include <string.h>
 
@@ -44,6 +45,7 @@
                               announced */
   int64_t clock_offset_ns; /* lower bound of its clock minus this node's */
   uint32_t sent_since_report;
+  uint64_t bytes_since_report;
   /* Of its target, by the last result.  They outlast the connection: a node
      that restarts learns them from the requests that it gets.  */
   struct target_terms terms;
@@ -84,6 +86,7 @@
 {
   uv_loop_t *loop;
   struct frame_node self;
+  uint32_t link_kbps; /* 0: not stated */
   struct nodes_hooks hooks;
   uv_tcp_t listener;
   uv_timer_t state_timer;
@@ -132,6 +135,14 @@
   return net_send ((uv_stream_t *)&link->tcp, frame);
 }
 
+static void
+fill_state (const struct nodes *p, struct frame_state *state)
+{
+  memset (state, 0, sizeof *state);
+  p->hooks.fill_state (p->hooks.arg, state);
+  state->load.link_kbps = p->link_kbps;
+}
+
 static uint32_t
 state_interval_ms (const struct nodes *p)
 {
@@ -201,6 +212,7 @@
     peer->clock_offset_ns = offset_ns;
   peer->state = f->state;
   peer->sent_since_report = 0;
+  peer->bytes_since_report = 0;
   if (!peer->connected && f->has_node)
     {
       peer->connected = true;
@@ -270,7 +282,7 @@
   struct inbound *in = job->inbound;
   struct nodes *p = in->link->nodes;
   struct frame_state state;
-  p->hooks.fill_state (p->hooks.arg, &state);
+  fill_state (p, &state);
   link_send (in->link, frame_result (job->call_id, result, &state));
   g_hash_table_remove (in->jobs, &job->call_id);
 }
@@ -319,7 +331,7 @@
   struct frame_state state;
   memcpy (in->name, node->name, sizeof in->name);
   memcpy (in->zone, node->zone, sizeof in->zone);
-  p->hooks.fill_state (p->hooks.arg, &state);
+  fill_state (p, &state);
   link_send (in->link, frame_state (&p->self, true, &state));
   in->state_sent = true;
   nodes_add (p, &node->address);
@@ -544,12 +556,13 @@
 }
 
 struct nodes *
-nodes_open (uv_loop_t *loop, const struct frame_node *self,
+nodes_open (uv_loop_t *loop, const struct frame_node *self, uint32_t link_kbps,
             const struct nodes_hooks *hooks)
 {
   struct nodes *p = g_new0 (struct nodes, 1);
   p->loop = loop;
   p->self = *self;
+  p->link_kbps = link_kbps;
   p->hooks = *hooks;
   p->by_address = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&p->inbounds);
@@ -615,6 +628,21 @@
   view->node = &peer->node;
   view->state = &peer->state;
   view->sent_since_report = peer->sent_since_report;
+  view->bytes_since_report = peer->bytes_since_report;
+}
+
+int64_t
+nodes_transfer_ns (const struct nodes *p, const struct node_view *view,
+                   size_t body_bytes)
+{
+  uint32_t their_kbps = view->state->load.link_kbps;
+  if (p->link_kbps == 0 || their_kbps == 0)
+    return 0;
+  int64_t wait_ns = (int64_t)view->state->load.link_wait_ms * NS_PER_MS
+                    + link_time_ns (view->bytes_since_report, their_kbps);
+  if (body_bytes <= LINK_SMALL_BYTES)
+    return wait_ns;
+  return wait_ns + link_time_ns (body_bytes, MIN (p->link_kbps, their_kbps));
 }
 
 void
@@ -677,6 +705,8 @@
   call->arg = arg;
   g_hash_table_insert (peer->calls, &call->call_id, call);
   peer->sent_since_report++;
+  if (request->body->len > LINK_SMALL_BYTES)
+    peer->bytes_since_report += request->body->len;
   counter_add (COUNTER_requests_forwarded_total, 1);
   /* The reader detects a broken connection, and ends the call.  */
   link_send (peer->link, frame_request (call->call_id, request, &peer->terms,
@@ -733,7 +763,7 @@
 broadcast (struct nodes *p, const char *zone)
 {
   struct frame_state state;
-  p->hooks.fill_state (p->hooks.arg, &state);
+  fill_state (p, &state);
   for (GList *l = p->inbounds.head; l != NULL; l = l->next)
     {
       struct inbound *in = l->data;
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -20,7 +20,9 @@
 {
   const struct frame_node *node;
   const struct frame_state *state;
-  uint32_t sent_since_report; /* requests sent to it since that state */
+  uint32_t sent_since_report;  /* requests sent to it since that state */
+  uint64_t bytes_since_report; /* of their bodies, of those over
+                                  LINK_SMALL_BYTES */
 };
 
 struct nodes_hooks
@@ -47,9 +49,10 @@
   void (*on_handover) (void *arg, const struct frame_handover *handover);
 };
 
-/* Listen on SELF's address.  NULL with a message if that fails.  */
+/* Listen on SELF's address.  LINK_KBPS: rate of this node's link; 0: not
+   stated.  NULL with a message if that fails.  */
 struct nodes *nodes_open (uv_loop_t *loop, const struct frame_node *self,
-                          const struct nodes_hooks *hooks);
+                          uint32_t link_kbps, const struct nodes_hooks *hooks);
 
 /* Add the node at ADDRESS, and connect to it.  */
 void nodes_add (struct nodes *p, const struct settings_address *address);
@@ -58,6 +61,13 @@
 typedef bool nodes_visitor (void *arg, const struct node_view *view);
 void nodes_visit (const struct nodes *p, nodes_visitor *each, void *arg);
 
+/* The expected time until a request with a body of BODY_BYTES that is sent now
+   has arrived at the node VIEW: the bodies that are on their way there and
+   those that this node has yet to send, and the transfer over the slower of
+   both links.  0 if either node states no rate.  */
+int64_t nodes_transfer_ns (const struct nodes *p, const struct node_view *view,
+                           size_t body_bytes);
+
 /* The number of nodes that were announced or sent something since SINCE_NS,
    and this one.  Unlike the connected nodes it stays the same while this node
    is cut off from others that go on.  */
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -428,6 +428,8 @@
     .already_tried = was_tried (p, view->node->name),
     .load = view->state->load,
     .sent_since_report = view->sent_since_report,
+    .transfer_ns
+    = nodes_transfer_ns (p->router->deps.nodes, view, p->request.body->len),
   };
   return c->count < CANDIDATES_MAX;
 }
--- a/src/settings/schema.c
+++ b/src/settings/schema.c
@@ -8,7 +8,9 @@
 
 enum
 {
-  DECIMAL_DIGITS_MAX = 10
+  DECIMAL_DIGITS_MAX = 10,
+  FRACTION_DIGITS = 3,
+  FRACTION_UNIT = 1000
 };
 
 const struct setting settings_schema[SETTING_COUNT] = {
@@ -25,6 +27,7 @@
   [SETTING_ADDRESS] = "HOST:PORT or [HOST]:PORT with a numeric host",
   [SETTING_ADDRESSES] = "a list of addresses",
   [SETTING_NUMBER] = "a whole number",
+  [SETTING_DECIMAL] = "a decimal number with at most three decimal places",
   [SETTING_SWITCH] = "yes or no",
   [SETTING_POLICY] = "unavailable-time-first or imbalance-first",
   [SETTING_LEVEL] = "debug, info, warning or error",
@@ -105,6 +108,57 @@
   return true;
 }
 
+/* Parse the digits after the decimal point as thousandths.  */
+static bool
+parse_fraction (const char *text, uint64_t *thousandths)
+{
+  size_t length = strspn (text, "0123456789");
+  if (length == 0 || length > FRACTION_DIGITS || text[length] != '\0')
+    return false;
+  *thousandths = 0;
+  for (size_t i = 0; i < FRACTION_DIGITS; i++)
+    *thousandths
+        = *thousandths * 10 + (uint64_t)(i < length ? text[i] - '0' : 0);
+  return true;
+}
+
+static bool
+report_out_of_range (const struct setting *def, const char *text, bool low,
+                     char *problem)
+{
+  snprintf (problem, SETTING_PROBLEM_BYTES, "%.64s is %s than %u", text,
+            low ? "less" : "more", low ? def->min : def->max);
+  return false;
+}
+
+static bool
+parse_thousandths (void *field, const struct setting *def, const char *text,
+                   char *problem)
+{
+  char whole[DECIMAL_DIGITS_MAX + 1];
+  size_t length = strcspn (text, ".");
+  uint64_t value = 0;
+  uint64_t fraction = 0;
+  bool valid = length < sizeof whole;
+  if (valid)
+    {
+      memcpy (whole, text, length);
+      whole[length] = '\0';
+      valid = parse_decimal (whole, &value)
+              && (text[length] == '\0'
+                  || parse_fraction (text + length + 1, &fraction));
+    }
+  if (!valid)
+    return report_mismatch (problem, text, type_descriptions[SETTING_DECIMAL]);
+  value = value * FRACTION_UNIT + fraction;
+  if (value < (uint64_t)def->min * FRACTION_UNIT
+      || value > (uint64_t)def->max * FRACTION_UNIT)
+    return report_out_of_range (
+        def, text, value < (uint64_t)def->min * FRACTION_UNIT, problem);
+  *(uint32_t *)field = (uint32_t)value;
+  return true;
+}
+
 static bool
 parse_number (void *field, const struct setting *def, const char *text,
               char *problem)
@@ -117,10 +171,7 @@
       *(uint32_t *)field = (uint32_t)value;
       return true;
     }
-  snprintf (problem, SETTING_PROBLEM_BYTES, "%s is %s than %u", text,
-            value < def->min ? "less" : "more",
-            value < def->min ? def->min : def->max);
-  return false;
+  return report_out_of_range (def, text, value < def->min, problem);
 }
 
 static bool
@@ -199,7 +250,7 @@
   [SETTING_ADDRESS] = parse_address, [SETTING_ADDRESSES] = parse_address,
   [SETTING_NUMBER] = parse_number,   [SETTING_SWITCH] = parse_switch,
   [SETTING_POLICY] = parse_policy,   [SETTING_LEVEL] = parse_level,
-  [SETTING_TEXT] = parse_text,
+  [SETTING_TEXT] = parse_text,       [SETTING_DECIMAL] = parse_thousandths,
 };
 
 static bool
--- a/src/settings/schema.h
+++ b/src/settings/schema.h
@@ -25,6 +25,7 @@
   SETTING_ADDRESS,
   SETTING_ADDRESSES, /* a sequence of addresses */
   SETTING_NUMBER,
+  SETTING_DECIMAL, /* kept in thousandths */
   SETTING_SWITCH,
   SETTING_POLICY,
   SETTING_LEVEL,
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -68,7 +68,8 @@
 {
   if (!is_string (node))
     return false;
-  if (type != SETTING_NUMBER && type != SETTING_SWITCH)
+  if (type != SETTING_NUMBER && type != SETTING_DECIMAL
+      && type != SETTING_SWITCH)
     return true;
   return node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,6 +40,8 @@
   char rack[SETTINGS_NAME_BYTES]; /* may be empty */
   char service[SETTINGS_NAME_BYTES];
   char bounds[SETTINGS_TEXT_BYTES]; /* may be empty */
+  uint32_t link_kbps;               /* 0: not stated */
+  uint32_t cpu_share_thousandths;   /* of a core; 0: not stated */
   /* listen */
   struct settings_address callers;
   struct settings_address peers; /* TCP for requests, UDP for leases */
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -213,6 +213,7 @@
     .load.start_interval_ms
     = (uint32_t)script_number (count, words, "interval", 0),
     .sent_since_report = (uint32_t)script_number (count, words, "sent", 0),
+    .transfer_ns = span_of (count, words, "transfer", 0),
   };
 }
 
--- a/test/unit/test_mesh_nodes.c
+++ b/test/unit/test_mesh_nodes.c
@@ -52,7 +52,7 @@
   strcpy (self.address.host, "127.0.0.1");
   self.address.port = test_port (PORT_OFFSET);
   uv_loop_init (&loop);
-  p = nodes_open (&loop, &self, &hooks);
+  p = nodes_open (&loop, &self, 0, &hooks);
   assert_non_null (p);
   /* Nothing listens there.  */
   for (int i = 1; i <= OTHERS; i++)
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 
 #include "base/finding.h"
+#include "settings/schema.h"
 #include "settings/settings.h"
 
 static void
@@ -38,6 +39,44 @@
   assert_int_equal (s.log_level, LOG_INFO);
 }
 
+/* The platform writes rates as 10.0, and shares of a core as 0.2.  */
+static void
+decimals_are_kept_in_thousandths (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    bool valid;
+    uint32_t kbps;
+  } cases[] = {
+    { "1000.0", true, 1000000 },
+    { "10", true, 10000 },
+    { "0.2", true, 200 },
+    { "12.345", true, 12345 },
+    { "100000", true, 100000000 },
+    { "100000.001", false, 0 },
+    { "1.2345", false, 0 },
+    { "1.", false, 0 },
+    { ".5", false, 0 },
+    { "-1", false, 0 },
+    { "1e3", false, 0 },
+    { "01.0", false, 0 },
+    { "1.0.0", false, 0 },
+    { "", false, 0 },
+  };
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct settings s = { .link_kbps = 0 };
+      char problem[SETTING_PROBLEM_BYTES];
+      assert_int_equal (
+          setting_parse (&s, &settings_schema[SETTING_node_link_mbps],
+                         cases[i].text, problem),
+          cases[i].valid);
+      assert_int_equal (s.link_kbps, cases[i].kbps);
+    }
+}
+
 static void
 example_file_is_loaded (void **state)
 {
@@ -102,6 +141,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (defaults_match_documentation),
+    cmocka_unit_test (decimals_are_kept_in_thousandths),
     cmocka_unit_test (example_file_is_loaded),
     cmocka_unit_test (addresses_are_canonical),
     cmocka_unit_test (findings_are_sorted_by_location),
