Send large frames to other nodes in parts, in order and at the link's rate

Cause: a body is sent as one frame of up to 72 MiB, behind which lookups, small requests and state frames of the connection wait.

Change: mesh/sender sends frames over 16 kB as FRAME_PARTs, ordered by priority, soft deadline and arrival over all connections, paced by a token bucket at nine tenths of the stated rate (limit/link) from which small frames and answers to callers take tokens too. A cancelled request's unsent parts are dropped; a request that was not sent completely is known not to have run, also when its connection is lost. Without a stated rate at both nodes frames are sent as before.

Measured: mesh.test passes with link_mbps 0, 10 and 1000.

--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -1,5 +1,7 @@
 #include "mesh/frame.h"
 
+#include "mesh/assembly.h"
+
 #include <msgpack.h>
 #include <string.h>
 
@@ -260,6 +262,17 @@
   return writer_finish (&w);
 }
 
+GString *
+frame_part (uint64_t stream, uint32_t flags, const char *data, size_t length)
+{
+  struct writer w;
+  writer_begin (&w, FRAME_PART, 3);
+  put_uint (&w, stream);
+  put_uint (&w, flags);
+  put_bytes (&w, data, length);
+  return writer_finish (&w);
+}
+
 /* Parsing.  */
 
 /* A cursor over the items of a frame.  An item that is missing or has the
@@ -502,6 +515,13 @@
       f->revision = read_int (r);
       f->text = read_bytes (r, &f->length);
       break;
+    case FRAME_PART:
+      f->stream = read_uint (r);
+      f->part_flags = read_u32 (r);
+      f->text = read_bytes (r, &f->length);
+      if (f->part_flags > PART_FLAGS_MAX)
+        r->valid = false;
+      break;
     default:
       f->handover.from = read_u32 (r);
       f->handover.to = read_u32 (r);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -32,6 +32,8 @@
   FRAME_FETCH,    /* from the dialler: asks for a document */
   FRAME_DOCUMENT, /* from the acceptor */
   FRAME_HANDOVER, /* from the dialler: warm-up data for keys */
+  FRAME_PART,     /* from both: a part of a frame, see mesh/assembly.h.  Only
+                     to nodes that report the rate of their link.  */
   FRAME_KIND_COUNT
 };
 
@@ -89,9 +91,11 @@
   struct attempt_result result;   /* RESULT */
   enum frame_document_type document_type; /* FETCH, DOCUMENT */
   int64_t revision;                       /* DOCUMENT: of the store */
-  const char *text;                       /* DOCUMENT */
+  const char *text;                       /* DOCUMENT, PART */
   size_t length;
   struct frame_handover handover; /* HANDOVER */
+  uint64_t stream;                /* PART: distinguishes frames */
+  uint32_t part_flags;            /* PART */
 };
 
 /* Each function serializes one frame, which the caller frees.  */
@@ -110,6 +114,8 @@
 GString *frame_document (enum frame_document_type document_type,
                          int64_t revision, const char *text, size_t length);
 GString *frame_handover (const struct frame_handover *h);
+GString *frame_part (uint64_t stream, uint32_t flags, const char *data,
+                     size_t length);
 
 /* Parse one frame, without its length prefix.  STATUS_INVALID if it is
    malformed.  The caller then owns the head and body of a REQUEST.  */
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -5,6 +5,8 @@
 #include "base/log.h"
 #include "http/net.h"
 #include "limit/link.h"
+#include "mesh/assembly.h"
+#include "mesh/sender.h"
 #include "settings/address.h"
 #include <string.h>
 
@@ -21,11 +23,19 @@
 /* Limit on the wait for a connection: ten times a round trip within a
    region.  */
 #define CONNECT_TIMEOUT_MS 1000
+/* A frame of which no part arrives for this long is dropped.  Its sender sends
+   a part as soon as its link is free, and tells when it gives up.  */
+#define PART_TIMEOUT_NS (10 * NS_PER_S)
+/* Set in the numbers of streams other than those of requests and results,
+   which have their call's id.  */
+#define STREAM_DOCUMENT (UINT64_C (1) << 63)
 
 struct link
 {
   uv_tcp_t tcp;
   GByteArray *input;
+  struct sender_lane lane;
+  struct assembly *assembly;
   struct nodes *nodes;
   struct peer *peer;       /* set if this node dialled */
   struct inbound *inbound; /* set if the other node dialled */
@@ -62,6 +72,7 @@
   uint64_t call_id;
   attempt_done *done;
   void *arg;
+  bool not_run; /* the connection was lost before all of it was sent */
 };
 
 /* A node that dialled this one.  */
@@ -79,6 +90,8 @@
 {
   struct inbound *inbound;
   uint64_t call_id;
+  uint32_t priority;
+  int64_t soft_deadline_ns;
   void *handle;
 };
 
@@ -87,12 +100,14 @@
   uv_loop_t *loop;
   struct frame_node self;
   uint32_t link_kbps; /* 0: not stated */
+  struct sender *sender;
   struct nodes_hooks hooks;
   uv_tcp_t listener;
   uv_timer_t state_timer;
   GHashTable *by_address; /* struct peer by the text of its address */
   GQueue inbounds;
   uint64_t last_call_id;
+  uint64_t last_document; /* number of the last stream of a document */
 };
 
 static void dial_later (struct peer *peer);
@@ -104,6 +119,7 @@
 {
   struct link *link = handle->data;
   g_byte_array_free (link->input, TRUE);
+  assembly_free (link->assembly);
   g_free (link);
 }
 
@@ -113,6 +129,7 @@
   struct link *link = g_new0 (struct link, 1);
   link->nodes = p;
   link->input = g_byte_array_new ();
+  link->assembly = assembly_new ();
   uv_tcp_init (p->loop, &link->tcp);
   link->tcp.data = link;
   return link;
@@ -124,15 +141,14 @@
   if (link->closed)
     return;
   link->closed = true;
+  sender_close_lane (link->nodes->sender, &link->lane);
   uv_close ((uv_handle_t *)&link->tcp, on_link_closed);
 }
 
 static bool
 link_send (struct link *link, GString *frame)
 {
-  counter_add (COUNTER_peer_messages_out_total, 1);
-  counter_add (COUNTER_peer_bytes_out_total, frame->len);
-  return net_send ((uv_stream_t *)&link->tcp, frame);
+  return sender_send (link->nodes->sender, &link->lane, frame);
 }
 
 static void
@@ -160,8 +176,37 @@
 
 /* Nodes that this one dials.  */
 
+static bool
+takes_parts (const struct nodes *p, const struct peer *peer)
+{
+  return p->link_kbps != 0 && peer->state.load.link_kbps != 0;
+}
+
+/* Drop what is unsent of CALL.  Whether the other node can no longer run it.
+ */
+static bool
+withdraw_call (const struct node_call *call)
+{
+  struct peer *peer = call->peer;
+  return sender_drop (peer->nodes->sender, &peer->link->lane, call->call_id);
+}
+
+/* Drop what is unsent of all calls, before the connection is closed.  */
 static void
-fail_calls (struct peer *peer, enum reason reason)
+withdraw_calls (struct peer *peer)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, peer->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct node_call *call = value;
+      call->not_run = withdraw_call (call);
+    }
+}
+
+static void
+fail_calls (struct peer *peer)
 {
   GList *calls = g_hash_table_get_values (peer->calls);
   g_hash_table_steal_all (peer->calls);
@@ -170,7 +215,9 @@
   for (GList *l = calls; l != NULL; l = l->next)
     {
       struct node_call *call = l->data;
-      struct attempt_result result = attempt_unknown (reason);
+      struct attempt_result result
+          = call->not_run ? attempt_not_run (REASON_OWNER_UNREACHABLE, 0)
+                          : attempt_unknown (REASON_OWNER_LOST);
       if (call->done != NULL)
         call->done (call->arg, &result);
       g_free (call);
@@ -187,12 +234,13 @@
                (int)((clock_now_ns () - peer->received_ns) / NS_PER_MS));
   if (peer->link != NULL)
     {
+      withdraw_calls (peer);
       peer->link->peer = NULL;
       link_close (peer->link);
     }
   peer->link = NULL;
   peer->connected = false;
-  fail_calls (peer, REASON_OWNER_LOST);
+  fail_calls (peer);
   dial_later (peer);
 }
 
@@ -249,6 +297,7 @@
       counter_add (COUNTER_peer_late_answers_total, 1);
       return;
     }
+  withdraw_call (call);
   g_hash_table_steal (peer->calls, &f->call_id);
   call->peer = NULL;
   call->done (call->arg, &f->result);
@@ -275,15 +324,33 @@
 
 /* Nodes that dialled this one.  */
 
+static struct peer *find_by_name (const struct nodes *p, const char *name);
+
+/* Send FRAME, in parts if the node at the other end takes them.  */
+static void
+send_to_dialler (struct inbound *in, GString *frame,
+                 const struct sender_order *order)
+{
+  struct nodes *p = in->link->nodes;
+  const struct peer *peer
+      = frame->len <= LINK_SMALL_BYTES ? NULL : find_by_name (p, in->name);
+  if (peer != NULL && takes_parts (p, peer))
+    sender_send_parts (p->sender, &in->link->lane, frame, order);
+  else
+    link_send (in->link, frame);
+}
+
 static void
 on_job_done (void *arg, const struct attempt_result *result)
 {
   struct inbound_job *job = arg;
   struct inbound *in = job->inbound;
-  struct nodes *p = in->link->nodes;
+  const struct nodes *p = in->link->nodes;
   struct frame_state state;
+  struct sender_order order
+      = { job->call_id, job->priority, job->soft_deadline_ns };
   fill_state (p, &state);
-  link_send (in->link, frame_result (job->call_id, result, &state));
+  send_to_dialler (in, frame_result (job->call_id, result, &state), &order);
   g_hash_table_remove (in->jobs, &job->call_id);
 }
 
@@ -294,6 +361,8 @@
   struct inbound_job *job = g_new0 (struct inbound_job, 1);
   job->inbound = in;
   job->call_id = f->call_id;
+  job->priority = f->request.priority;
+  job->soft_deadline_ns = f->request.soft_deadline_ns;
   counter_add (COUNTER_requests_from_peers_total, 1);
   g_hash_table_replace (in->jobs, &job->call_id, job);
   job->handle
@@ -305,6 +374,7 @@
 {
   struct nodes *p = in->link->nodes;
   struct inbound_job *job = g_hash_table_lookup (in->jobs, &call_id);
+  sender_drop (p->sender, &in->link->lane, call_id);
   if (job == NULL)
     return;
   p->hooks.cancel_request (p->hooks.arg, job->handle);
@@ -319,9 +389,11 @@
   int64_t revision = 0;
   const char *text = p->hooks.get_document (p->hooks.arg, document_type,
                                             &length, &revision);
+  struct sender_order order
+      = { STREAM_DOCUMENT | ++p->last_document, 0, clock_now_ns () };
   if (text != NULL)
-    link_send (in->link,
-               frame_document (document_type, revision, text, length));
+    send_to_dialler (
+        in, frame_document (document_type, revision, text, length), &order);
 }
 
 static void
@@ -395,22 +467,79 @@
 }
 
 static bool
-process_frame (struct link *link, const char *data, size_t length)
+refuse_frame (const char *cause)
+{
+  counter_add (COUNTER_peer_bad_messages_total, 1);
+  log_event (EV_PEER_BAD_MESSAGE, "cause=\"%s\"", cause);
+  return false;
+}
+
+static bool
+process_whole_frame (struct link *link, struct frame *f)
+{
+  if (link->peer != NULL)
+    on_peer_frame (link->peer, f, clock_now_ns ());
+  else if (link->inbound != NULL)
+    on_inbound_frame (link->inbound, f);
+  attempt_request_clear (&f->request);
+  return true;
+}
+
+/* Process a frame that arrived in parts: DATA includes its length prefix.  */
+static bool
+process_assembled (struct link *link, const GString *data)
 {
   struct frame f;
-  if (frame_parse (data, length, &f) != STATUS_OK)
+  uint32_t length = 0;
+  if (data->len >= FRAME_HEADER_BYTES)
+    memcpy (&length, data->str, sizeof length);
+  if (data->len < FRAME_HEADER_BYTES
+      || data->len - FRAME_HEADER_BYTES != GUINT32_FROM_BE (length))
+    return refuse_frame ("length of an assembled frame");
+  if (frame_parse (data->str + FRAME_HEADER_BYTES,
+                   data->len - FRAME_HEADER_BYTES, &f)
+      != STATUS_OK)
+    return refuse_frame (status_message ());
+  if (f.kind == FRAME_PART)
+    return refuse_frame ("part within a part");
+  return process_whole_frame (link, &f);
+}
+
+static bool
+process_part (struct link *link, const struct frame *f)
+{
+  GString *data = NULL;
+  int64_t now_ns = clock_now_ns ();
+  if (link->peer != NULL)
+    link->peer->received_ns = link->peer->heard_of_ns = now_ns;
+  switch (assembly_add (link->assembly, f->stream, f->part_flags, f->text,
+                        f->length, now_ns, &data))
     {
-      counter_add (COUNTER_peer_bad_messages_total, 1);
-      log_event (EV_PEER_BAD_MESSAGE, "cause=\"%s\"", status_message ());
-      return false;
+    case ASSEMBLY_MALFORMED:
+      return refuse_frame ("part of a stream");
+    case ASSEMBLY_UNKNOWN:
+      counter_add (COUNTER_parts_dropped_total, 1);
+      return true;
+    case ASSEMBLY_COMPLETE:
+      break;
+    default:
+      return true;
     }
+  bool valid = process_assembled (link, data);
+  g_string_free (data, TRUE);
+  return valid;
+}
+
+/* Process one frame, without its length prefix.  False if it is malformed.  */
+static bool
+process_frame (struct link *link, const char *data, size_t length)
+{
+  struct frame f;
+  if (frame_parse (data, length, &f) != STATUS_OK)
+    return refuse_frame (status_message ());
   counter_add (COUNTER_peer_messages_in_total, 1);
-  if (link->peer != NULL)
-    on_peer_frame (link->peer, &f, clock_now_ns ());
-  else if (link->inbound != NULL)
-    on_inbound_frame (link->inbound, &f);
-  attempt_request_clear (&f.request);
-  return true;
+  return f.kind == FRAME_PART ? process_part (link, &f)
+                              : process_whole_frame (link, &f);
 }
 
 static void
@@ -474,6 +603,7 @@
       return;
     }
   net_set_options (&link->tcp, silence_timeout_ms (peer->nodes));
+  sender_open_lane (peer->nodes->sender, &link->lane, &link->tcp);
   uv_read_start ((uv_stream_t *)&link->tcp, net_alloc_buffer, on_read);
   peer->received_ns = clock_now_ns ();
   link_send (link, frame_hello (&peer->nodes->self));
@@ -544,14 +674,31 @@
   link->inbound = in;
   g_queue_push_tail_link (&p->inbounds, &in->list_link);
   net_set_options (&link->tcp, silence_timeout_ms (p));
+  sender_open_lane (p->sender, &link->lane, &link->tcp);
   uv_read_start ((uv_stream_t *)&link->tcp, net_alloc_buffer, on_read);
 }
 
+/* Drop frames whose sender stopped midway.  */
+static void
+expire_parts (struct nodes *p, int64_t now_ns)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t since_ns = now_ns - PART_TIMEOUT_NS;
+  for (GList *l = p->inbounds.head; l != NULL; l = l->next)
+    assembly_expire (((struct inbound *)l->data)->link->assembly, since_ns);
+  g_hash_table_iter_init (&iter, p->by_address);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct peer *)value)->link != NULL)
+      assembly_expire (((struct peer *)value)->link->assembly, since_ns);
+}
+
 static void
 on_state_timer (uv_timer_t *timer)
 {
   struct nodes *p = timer->data;
   nodes_broadcast_state (p);
+  expire_parts (p, clock_now_ns ());
   uv_timer_start (timer, on_state_timer, state_interval_ms (p), 0);
 }
 
@@ -563,6 +710,7 @@
   p->loop = loop;
   p->self = *self;
   p->link_kbps = link_kbps;
+  p->sender = sender_new (loop, link_kbps);
   p->hooks = *hooks;
   p->by_address = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&p->inbounds);
@@ -642,6 +790,8 @@
                     + link_time_ns (view->bytes_since_report, their_kbps);
   if (body_bytes <= LINK_SMALL_BYTES)
     return wait_ns;
+  /* What both links have to do before the body is done at the same time.  */
+  wait_ns = MAX (wait_ns, sender_wait_ns (p->sender));
   return wait_ns + link_time_ns (body_bytes, MIN (p->link_kbps, their_kbps));
 }
 
@@ -690,6 +840,29 @@
   return NULL;
 }
 
+void
+nodes_count_caller_bytes_out (struct nodes *p, size_t bytes)
+{
+  sender_charge (p->sender, bytes);
+}
+
+/* The reader detects a broken connection, and ends the call.  */
+static void
+send_request (const struct node_call *call,
+              const struct attempt_request *request)
+{
+  struct peer *peer = call->peer;
+  struct nodes *p = peer->nodes;
+  struct sender_order order
+      = { call->call_id, request->priority, request->soft_deadline_ns };
+  GString *frame = frame_request (call->call_id, request, &peer->terms,
+                                  peer->clock_offset_ns);
+  if (takes_parts (p, peer))
+    sender_send_parts (p->sender, &peer->link->lane, frame, &order);
+  else
+    link_send (peer->link, frame);
+}
+
 struct node_call *
 nodes_send (struct nodes *p, const char *name,
             const struct attempt_request *request, attempt_done *done,
@@ -708,24 +881,24 @@
   if (request->body->len > LINK_SMALL_BYTES)
     peer->bytes_since_report += request->body->len;
   counter_add (COUNTER_requests_forwarded_total, 1);
-  /* The reader detects a broken connection, and ends the call.  */
-  link_send (peer->link, frame_request (call->call_id, request, &peer->terms,
-                                        peer->clock_offset_ns));
+  send_request (call, request);
   return call;
 }
 
-void
+bool
 nodes_cancel (struct node_call *call)
 {
   struct peer *peer = call->peer;
   if (peer == NULL)
     {
       call->done = NULL; /* it is about to be ended and freed */
-      return;
+      return call->not_run;
     }
+  bool not_run = withdraw_call (call);
   g_hash_table_remove (peer->calls, &call->call_id);
   link_send (peer->link, frame_cancel (call->call_id));
   g_free (call);
+  return not_run;
 }
 
 bool
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -61,6 +61,9 @@
 typedef bool nodes_visitor (void *arg, const struct node_view *view);
 void nodes_visit (const struct nodes *p, nodes_visitor *each, void *arg);
 
+/* BYTES were received from or sent to callers, over the same link.  */
+void nodes_count_caller_bytes_out (struct nodes *p, size_t bytes);
+
 /* The expected time until a request with a body of BODY_BYTES that is sent now
    has arrived at the node VIEW: the bodies that are on their way there and
    those that this node has yet to send, and the transfer over the slower of
@@ -80,8 +83,9 @@
                               const struct attempt_request *request,
                               attempt_done *done, void *arg);
 
-/* Cancel CALL, whose result is no longer needed.  */
-void nodes_cancel (struct node_call *call);
+/* Cancel CALL, whose result is no longer needed.  True if the other node has
+   not received all of the request, so that it does not run.  */
+bool nodes_cancel (struct node_call *call);
 
 /* Request a document from the node at ADDRESS.  False if it is not
    connected.  */
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -100,15 +100,18 @@
   uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
 }
 
-static void
+/* Whether the attempt may have run.  */
+static bool
 cancel_attempt (struct pending *p)
 {
+  bool may_have_run = p->job != NULL;
   if (p->job != NULL)
     egress_abandon (p->job);
   if (p->call != NULL)
-    nodes_cancel (p->call);
+    may_have_run = !nodes_cancel (p->call);
   p->job = NULL;
   p->call = NULL;
+  return may_have_run;
 }
 
 static void
@@ -190,6 +193,7 @@
                     p->wait_until_ns, now_ns);
   log_result (p, r, status, now_ns);
   count_result (p->router, r, now_ns - p->arrived_ns);
+  nodes_count_caller_bytes_out (p->router->deps.nodes, head->len + length);
   exchange->user_data = NULL;
   pending_free (p);
   http_respond (exchange, status, head->str, body, length);
@@ -233,10 +237,9 @@
 static void
 end_early (struct pending *p, enum reason reason)
 {
-  bool sent = p->job != NULL || p->call != NULL;
-  struct attempt_result r = sent || p->in_doubt ? attempt_unknown (reason)
-                                                : attempt_not_run (reason, 0);
-  cancel_attempt (p);
+  bool may_have_run = cancel_attempt (p) || p->in_doubt;
+  struct attempt_result r
+      = may_have_run ? attempt_unknown (reason) : attempt_not_run (reason, 0);
   finish (p, &r);
 }
 
--- a/test/script/mesh_lib.sh
+++ b/test/script/mesh_lib.sh
@@ -13,6 +13,7 @@
   region: here
   zone: here
   service: $2
+  link_mbps: ${LINK_MBPS:-0}
   bounds: '{"hold_max_ms":2000,"grace_s":4,"budget_ratio":0.2,"budget_slack":32}'
 listen:
   callers: 127.0.0.1:$((p + 3))
