Ask for admission before a large body is sent to another node

Cause: a body is transferred before anyone has asked whether the request may run, so that a link of 10 Mbit/s spends most of its time on bodies of requests that are refused or late.

Change: a request with a body over 16 kB whose transfer takes more than 2 ms over the slower link is offered (FRAME_OFFER). Bytes of callers and other frames reduce the rate that is assumed to be left. A keyed request waits once for room instead of making its caller send the body again.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -506,7 +506,7 @@
     return refuse (r, REASON_QUEUE_FULL, wait_ns);
   int64_t excess = excess_ns (l, e, wait_ns, now_ns);
   bool probe = free_slot && l->running < PROBES_MAX;
-  if (excess > 0 && !probe)
+  if (excess > 0 && !probe && !r->admitted)
     return refuse (r, busy_reason (l, e), excess);
   return (struct lineup_decision){
     .verdict = free_slot ? LINEUP_START : LINEUP_WAIT,
@@ -515,15 +515,64 @@
   };
 }
 
-struct lineup_decision
-lineup_offer (struct lineup *l, const struct lineup_request *r, int64_t now_ns)
+static struct entry
+new_entry (struct lineup *l, const struct lineup_request *r, int64_t now_ns)
 {
   struct route *route = find_route (l, r->route_hash);
-  struct entry offered = {
+  return (struct entry){
     .request = *r,
     .expected_service_ns = expected_service_ns (l, route),
     .rank = rank_of (route, r, now_ns),
   };
+}
+
+/* The expected wait of E after those that arrive before it.  */
+static int64_t
+expected_wait_after_ns (const struct lineup *l, const struct entry *e,
+                        uint32_t before, int64_t now_ns)
+{
+  uint32_t free_slots = l->running < l->slots ? l->slots - l->running : 0;
+  bool starts = may_start (l, now_ns) && l->waiting->len == 0;
+  if (starts && before < free_slots)
+    return 0;
+  uint32_t queued = starts ? before + 1 - free_slots : before;
+  return (starts ? 0 : expected_wait_ns (l, e, now_ns))
+         + (int64_t)(queued * turn_ns (l, e->expected_service_ns));
+}
+
+struct lineup_decision
+lineup_preview (struct lineup *l, const struct lineup_request *r,
+                const struct lineup_arrival *arrival, int64_t now_ns)
+{
+  struct entry offered = new_entry (l, r, now_ns);
+  int64_t queue_ns
+      = expected_wait_after_ns (l, &offered, arrival->before, now_ns);
+  /* The transfer is no wait: without a queue and a backlog the request would
+     start when it arrives.  */
+  int64_t arrival_ns = now_ns + arrival->transfer_ns;
+  queue_ns = MAX (0, queue_ns - arrival->transfer_ns);
+  if (arrival_ns >= r->deadline_ns)
+    return refuse (r, REASON_DEADLINE, 0);
+  int64_t excess = excess_ns (l, &offered, MAX (queue_ns, arrival->backlog_ns),
+                              arrival_ns);
+  bool probe = queue_ns == 0 && arrival->backlog_ns == 0
+               && l->running + arrival->before < PROBES_MAX;
+  if (excess <= 0 || probe)
+    return (struct lineup_decision){ .verdict = LINEUP_WAIT,
+                                     .user_data = r->user_data };
+  if (arrival->backlog_ns > queue_ns
+      && excess_ns (l, &offered, queue_ns, arrival_ns) <= 0)
+    return refuse (r, REASON_LINK_FULL, excess);
+  update_mix (l, &offered, now_ns);
+  if (!is_late (l, &offered, now_ns))
+    record_offer (l, &offered, now_ns);
+  return refuse (r, busy_reason (l, &offered), excess);
+}
+
+struct lineup_decision
+lineup_offer (struct lineup *l, const struct lineup_request *r, int64_t now_ns)
+{
+  struct entry offered = new_entry (l, r, now_ns);
   update_mix (l, &offered, now_ns);
   struct lineup_decision d = decide_offer (l, &offered, now_ns);
   if (d.verdict == LINEUP_REFUSE)
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -42,9 +42,20 @@
   uint32_t priority;        /* 0 is the highest */
   int64_t soft_deadline_ns; /* an answer has its full value until then */
   int64_t deadline_ns;      /* an answer has no value after that */
+  bool admitted; /* lineup_preview accepted it: it is not refused on arrival
+                    for the length of the queue */
   void *user_data;
 };
 
+/* A request whose body has yet to arrive.  */
+struct lineup_arrival
+{
+  int64_t transfer_ns; /* of its own body */
+  int64_t backlog_ns;  /* until that transfer begins */
+  uint32_t before;     /* requests that were accepted earlier and have not
+                          arrived */
+};
+
 enum lineup_verdict
 {
   LINEUP_START,
@@ -85,6 +96,13 @@
                                      const struct lineup_request *r,
                                      int64_t now_ns);
 
+/* Decide whether to accept the request R, which arrives as ARRIVAL says; does
+   not queue it.  REASON_LINK_FULL if only the backlog makes it too late.  */
+struct lineup_decision lineup_preview (struct lineup *l,
+                                       const struct lineup_request *r,
+                                       const struct lineup_arrival *arrival,
+                                       int64_t now_ns);
+
 /* The next decision on a waiting request: START, REFUSE or NOTHING.  Call it
    until NOTHING after each change and at lineup_wake_ns.  */
 struct lineup_decision lineup_next (struct lineup *l, int64_t now_ns);
--- a/src/mesh/attempt.h
+++ b/src/mesh/attempt.h
@@ -33,6 +33,8 @@
   int64_t deadline_ns;      /* when the work on it must end, same clock */
   int32_t key;              /* ATTEMPT_NO_KEY or the key's number */
   bool from_peer;           /* received from another node */
+  bool admitted;            /* egress_check accepted it before its body was
+                               sent */
   /* What the sending node knows of the terms of the receiver's target.  */
   struct target_terms terms;
   GString *head; /* request line and header fields, each with its CRLF */
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -525,6 +525,50 @@
              g->view.phase);
 }
 
+static struct lineup_request
+queue_request (const struct attempt_request *r)
+{
+  return (struct lineup_request){
+    .route_hash = r->route_hash,
+    .priority = r->priority,
+    .soft_deadline_ns = r->soft_deadline_ns,
+    .deadline_ns = r->deadline_ns,
+    .admitted = r->admitted,
+  };
+}
+
+/* Why the target takes no request like R now, whatever its queue.  */
+static enum reason
+closed_reason (const struct egress *g, const struct attempt_request *r,
+               int64_t now_ns)
+{
+  if (g->view.phase != TARGET_SERVING)
+    return g->view.phase == TARGET_LEAVING ? REASON_DRAINING
+                                           : REASON_TARGET_DOWN;
+  if (r->key != ATTEMPT_NO_KEY)
+    return g->hooks.check_key (g->hooks.arg, r->key, now_ns);
+  return REASON_NONE;
+}
+
+bool
+egress_check (struct egress *g, const struct attempt_request *request,
+              const struct lineup_arrival *arrival, int64_t now_ns,
+              struct attempt_result *refusal)
+{
+  struct lineup_request r = queue_request (request);
+  enum reason closed = closed_reason (g, request, now_ns);
+  struct lineup_decision d = { .verdict = LINEUP_REFUSE,
+                               .reason = closed,
+                               .retry_after_ns = CLOSED_RETRY_AFTER_NS };
+  if (closed == REASON_NONE)
+    d = lineup_preview (g->lineup, &r, arrival, now_ns);
+  if (d.verdict != LINEUP_REFUSE)
+    return true;
+  *refusal = attempt_not_run (d.reason, d.retry_after_ns);
+  refusal->terms = current_terms (g);
+  return false;
+}
+
 struct egress_job *
 egress_send (struct egress *g, struct attempt_request *request,
              attempt_done *done, void *arg, int64_t now_ns)
@@ -539,25 +583,14 @@
   g->job_count++;
   if (job->request.deadline_ns > g->shutdown_ns)
     job->request.deadline_ns = g->shutdown_ns;
-  enum reason refusal_reason = REASON_NONE;
-  if (g->view.phase != TARGET_SERVING)
-    refusal_reason = g->view.phase == TARGET_LEAVING ? REASON_DRAINING
-                                                     : REASON_TARGET_DOWN;
-  else if (job->request.key != ATTEMPT_NO_KEY)
-    refusal_reason
-        = g->hooks.check_key (g->hooks.arg, job->request.key, now_ns);
+  enum reason refusal_reason = closed_reason (g, &job->request, now_ns);
   if (refusal_reason != REASON_NONE)
     {
       refuse_later (job, refusal_reason, CLOSED_RETRY_AFTER_NS);
       return job;
     }
-  struct lineup_request r = {
-    .route_hash = job->request.route_hash,
-    .priority = job->request.priority,
-    .soft_deadline_ns = job->request.soft_deadline_ns,
-    .deadline_ns = job->request.deadline_ns,
-    .user_data = job,
-  };
+  struct lineup_request r = queue_request (&job->request);
+  r.user_data = job;
   struct lineup_decision d = lineup_offer (g->lineup, &r, now_ns);
   job->queue_id = d.id;
   if (d.verdict == LINEUP_START)
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -68,6 +68,13 @@
 void egress_adopt_terms (struct egress *g, const struct target_terms *terms,
                          int64_t now_ns);
 
+/* Whether REQUEST, whose head and body have yet to arrive, will be sent to the
+   target then.  False with the reason in *REFUSAL.  */
+struct lineup_arrival;
+bool egress_check (struct egress *g, const struct attempt_request *request,
+                   const struct lineup_arrival *arrival, int64_t now_ns,
+                   struct attempt_result *refusal);
+
 /* Send REQUEST to the target; its head and body move into the job.  DONE is
    called once, after this function returns, unless the job is abandoned.  */
 struct egress_job *egress_send (struct egress *g,
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -177,20 +177,28 @@
   return writer_finish (&w);
 }
 
+/* What a REQUEST and an OFFER have in common.  */
+static void
+put_attempt (struct writer *w, uint64_t call_id,
+             const struct attempt_request *r, int64_t clock_offset_ns)
+{
+  put_uint (w, call_id);
+  put_text (w, r->id);
+  put_uint (w, r->route_hash);
+  put_uint (w, r->idempotent);
+  put_uint (w, r->priority);
+  put_int (w, r->soft_deadline_ns + clock_offset_ns);
+  put_int (w, r->deadline_ns + clock_offset_ns);
+  put_int (w, r->key);
+}
+
 GString *
 frame_request (uint64_t call_id, const struct attempt_request *r,
                const struct target_terms *terms, int64_t clock_offset_ns)
 {
   struct writer w;
   writer_begin (&w, FRAME_REQUEST, REQUEST_ITEMS + terms_items (terms));
-  put_uint (&w, call_id);
-  put_text (&w, r->id);
-  put_uint (&w, r->route_hash);
-  put_uint (&w, r->idempotent);
-  put_uint (&w, r->priority);
-  put_int (&w, r->soft_deadline_ns + clock_offset_ns);
-  put_int (&w, r->deadline_ns + clock_offset_ns);
-  put_int (&w, r->key);
+  put_attempt (&w, call_id, r, clock_offset_ns);
   put_bytes (&w, r->head->str, r->head->len);
   put_bytes (&w, r->body->str, r->body->len);
   put_terms (&w, terms);
@@ -262,6 +270,31 @@
   return writer_finish (&w);
 }
 
+GString *
+frame_offer (uint64_t call_id, const struct attempt_request *r,
+             const struct target_terms *terms, int64_t clock_offset_ns,
+             uint32_t wait_ms)
+{
+  struct writer w;
+  writer_begin (&w, FRAME_OFFER, REQUEST_ITEMS + terms_items (terms));
+  put_attempt (&w, call_id, r, clock_offset_ns);
+  put_uint (&w, r->head->len + r->body->len);
+  put_uint (&w, wait_ms);
+  put_terms (&w, terms);
+  return writer_finish (&w);
+}
+
+GString *
+frame_admit (uint64_t call_id, const struct frame_state *state)
+{
+  struct writer w;
+  writer_begin (&w, FRAME_ADMIT, STATE_ITEMS + 1 + has_extra (state));
+  put_state (&w, state);
+  put_uint (&w, call_id);
+  put_extra (&w, state);
+  return writer_finish (&w);
+}
+
 GString *
 frame_part (uint64_t stream, uint32_t flags, const char *data, size_t length)
 {
@@ -435,7 +468,7 @@
 }
 
 static void
-read_request (struct reader *r, struct frame *f)
+read_attempt (struct reader *r, struct frame *f)
 {
   struct attempt_request *q = &f->request;
   f->call_id = read_uint (r);
@@ -446,6 +479,13 @@
   q->soft_deadline_ns = read_int (r);
   q->deadline_ns = read_int (r);
   q->key = (int32_t)read_int (r);
+}
+
+static void
+read_request (struct reader *r, struct frame *f)
+{
+  struct attempt_request *q = &f->request;
+  read_attempt (r, f);
   q->head = read_string (r);
   q->body = read_string (r);
   read_terms (r, &q->terms);
@@ -522,6 +562,19 @@
       if (f->part_flags > PART_FLAGS_MAX)
         r->valid = false;
       break;
+    case FRAME_OFFER:
+      read_attempt (r, f);
+      f->offered_bytes = read_uint (r);
+      f->offer_wait_ms = read_u32 (r);
+      read_terms (r, &f->request.terms);
+      if (f->offered_bytes > FRAME_BYTES_MAX)
+        r->valid = false;
+      break;
+    case FRAME_ADMIT:
+      read_state (r, &f->state);
+      f->call_id = read_uint (r);
+      read_extra (r, &f->state);
+      break;
     default:
       f->handover.from = read_u32 (r);
       f->handover.to = read_u32 (r);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -34,6 +34,9 @@
   FRAME_HANDOVER, /* from the dialler: warm-up data for keys */
   FRAME_PART,     /* from both: a part of a frame, see mesh/assembly.h.  Only
                      to nodes that report the rate of their link.  */
+  FRAME_OFFER,    /* from the dialler: a request without its head and body, to
+                     such nodes; answered by ADMIT, or a RESULT if refused */
+  FRAME_ADMIT,    /* from the acceptor: the request may be sent */
   FRAME_KIND_COUNT
 };
 
@@ -96,6 +99,8 @@
   struct frame_handover handover; /* HANDOVER */
   uint64_t stream;                /* PART: distinguishes frames */
   uint32_t part_flags;            /* PART */
+  uint64_t offered_bytes;         /* OFFER: of the head and body */
+  uint32_t offer_wait_ms; /* OFFER: until the sender's link is free for them */
 };
 
 /* Each function serializes one frame, which the caller frees.  */
@@ -114,6 +119,10 @@
 GString *frame_document (enum frame_document_type document_type,
                          int64_t revision, const char *text, size_t length);
 GString *frame_handover (const struct frame_handover *h);
+GString *frame_offer (uint64_t call_id, const struct attempt_request *r,
+                      const struct target_terms *terms,
+                      int64_t clock_offset_ns, uint32_t wait_ms);
+GString *frame_admit (uint64_t call_id, const struct frame_state *state);
 GString *frame_part (uint64_t stream, uint32_t flags, const char *data,
                      size_t length);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -369,6 +369,21 @@
   return egress_send (m->egress, request, done, done_arg, clock_now_ns ());
 }
 
+static bool
+check_offer (void *arg, const struct attempt_request *request,
+             const struct lineup_arrival *arrival,
+             struct attempt_result *refusal)
+{
+  struct mesh *m = arg;
+  apply_told_terms (m, &request->terms);
+  if (egress_check (m->egress, request, arrival, clock_now_ns (), refusal))
+    return true;
+  /* One that is accepted is counted when it arrives.  */
+  if (request->key != ATTEMPT_NO_KEY)
+    keys_count_request (m->keys, (uint32_t)request->key);
+  return false;
+}
+
 static void
 cancel_request (void *arg, void *handle)
 {
@@ -633,6 +648,7 @@
     .arg = m,
     .fill_state = fill_state,
     .run_request = run_request,
+    .check_offer = check_offer,
     .cancel_request = cancel_request,
     .get_document = get_document,
     .on_document = on_document,
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "http/net.h"
 #include "limit/link.h"
+#include "mesh/admissions.h"
 #include "mesh/assembly.h"
 #include "mesh/sender.h"
 #include "settings/address.h"
@@ -26,6 +27,11 @@
 /* A frame of which no part arrives for this long is dropped.  Its sender sends
    a part as soon as its link is free, and tells when it gives up.  */
 #define PART_TIMEOUT_NS (10 * NS_PER_S)
+/* A body is offered before it is sent if the transfer over the slower of both
+   links takes longer than this: a round trip between nodes takes about as
+   long.  */
+#define OFFER_MIN_NS (2 * NS_PER_MS)
+#define LINK_FULL_LOG_INTERVAL_NS (1 * NS_PER_S)
 /* Set in the numbers of streams other than those of requests and results,
    which have their call's id.  */
 #define STREAM_DOCUMENT (UINT64_C (1) << 63)
@@ -72,6 +78,8 @@
   uint64_t call_id;
   attempt_done *done;
   void *arg;
+  /* Offered and not yet admitted; NULL: sent, or being sent.  */
+  const struct attempt_request *offered;
   bool not_run; /* the connection was lost before all of it was sent */
 };
 
@@ -101,6 +109,9 @@
   struct frame_node self;
   uint32_t link_kbps; /* 0: not stated */
   struct sender *sender;
+  struct admissions *admissions; /* NULL: the link's rate is not stated */
+  int64_t link_full_logged_ns;
+  uint32_t link_full_refusals; /* since then */
   struct nodes_hooks hooks;
   uv_tcp_t listener;
   uv_timer_t state_timer;
@@ -157,6 +168,10 @@
   memset (state, 0, sizeof *state);
   p->hooks.fill_state (p->hooks.arg, state);
   state->load.link_kbps = p->link_kbps;
+  if (p->admissions != NULL)
+    state->load.link_wait_ms
+        = (uint32_t)(admissions_wait_ns (p->admissions, clock_now_ns ())
+                     / NS_PER_MS);
 }
 
 static uint32_t
@@ -188,7 +203,9 @@
 withdraw_call (const struct node_call *call)
 {
   struct peer *peer = call->peer;
-  return sender_drop (peer->nodes->sender, &peer->link->lane, call->call_id);
+  return call->offered != NULL
+         || sender_drop (peer->nodes->sender, &peer->link->lane,
+                         call->call_id);
 }
 
 /* Drop what is unsent of all calls, before the connection is closed.  */
@@ -304,19 +321,55 @@
   g_free (call);
 }
 
+/* The reader detects a broken connection, and ends the call.  */
+static void
+send_request (const struct node_call *call,
+              const struct attempt_request *request)
+{
+  struct peer *peer = call->peer;
+  struct nodes *p = peer->nodes;
+  struct sender_order order
+      = { call->call_id, request->priority, request->soft_deadline_ns };
+  GString *frame = frame_request (call->call_id, request, &peer->terms,
+                                  peer->clock_offset_ns);
+  if (takes_parts (p, peer))
+    sender_send_parts (p->sender, &peer->link->lane, frame, &order);
+  else
+    link_send (peer->link, frame);
+}
+
+/* The other node admits the request of a call.  It may have been cancelled
+   meanwhile.  */
+static void
+on_admit (struct peer *peer, uint64_t call_id)
+{
+  struct node_call *call = g_hash_table_lookup (peer->calls, &call_id);
+  if (call == NULL || call->offered == NULL)
+    {
+      counter_add (COUNTER_peer_late_answers_total, 1);
+      return;
+    }
+  const struct attempt_request *request = call->offered;
+  call->offered = NULL;
+  send_request (call, request);
+}
+
 static void
 on_peer_frame (struct peer *peer, const struct frame *f, int64_t now_ns)
 {
   struct nodes *p = peer->nodes;
   peer->received_ns = now_ns;
   peer->heard_of_ns = now_ns;
-  if (f->kind == FRAME_STATE || f->kind == FRAME_RESULT)
+  if (f->kind == FRAME_STATE || f->kind == FRAME_RESULT
+      || f->kind == FRAME_ADMIT)
     update_state (peer, f, now_ns);
   if (f->kind == FRAME_RESULT)
     {
       update_terms (peer, f);
       finish_call (peer, f);
     }
+  else if (f->kind == FRAME_ADMIT)
+    on_admit (peer, f->call_id);
   else if (f->kind == FRAME_DOCUMENT)
     p->hooks.on_document (p->hooks.arg, &peer->node, f->document_type,
                           f->revision, f->text, f->length);
@@ -354,6 +407,19 @@
   g_hash_table_remove (in->jobs, &job->call_id);
 }
 
+/* A request runs once: whether the call id of F was used before.  */
+static bool
+is_repeated (struct inbound *in, struct frame *f)
+{
+  const struct nodes *p = in->link->nodes;
+  enum admission_use use = ADMISSION_NONE;
+  if (p->admissions != NULL)
+    use = admissions_use (p->admissions, in, f->call_id, clock_now_ns ());
+  f->request.admitted = use == ADMISSION_HELD;
+  return use == ADMISSION_USED
+         || g_hash_table_contains (in->jobs, &f->call_id);
+}
+
 static void
 start_inbound_job (struct inbound *in, struct frame *f)
 {
@@ -375,6 +441,8 @@
   struct nodes *p = in->link->nodes;
   struct inbound_job *job = g_hash_table_lookup (in->jobs, &call_id);
   sender_drop (p->sender, &in->link->lane, call_id);
+  if (p->admissions != NULL)
+    admissions_cancel (p->admissions, in, call_id);
   if (job == NULL)
     return;
   p->hooks.cancel_request (p->hooks.arg, job->handle);
@@ -409,16 +477,138 @@
   nodes_add (p, &node->address);
 }
 
+/* Offers.  */
+
+static void
+on_admission_end (void *arg, void *from, uint64_t call_id,
+                  enum admission_end end)
+{
+  struct inbound *in = from;
+  (void)arg;
+  if (end == ADMISSION_END_DEADLINE)
+    assembly_drop (in->link->assembly, call_id);
+  else
+    log_event (
+        EV_ADMISSION_EXPIRED,
+        "peer=%s call=%" G_GUINT64_FORMAT " outstanding_ms=%d", in->name,
+        call_id,
+        (int)(admissions_wait_ns (in->link->nodes->admissions, clock_now_ns ())
+              / NS_PER_MS));
+}
+
+/* Log at most once a second that the link is full.  */
+static void
+record_link_full (struct nodes *p, int64_t now_ns)
+{
+  p->link_full_refusals++;
+  if (now_ns - p->link_full_logged_ns < LINK_FULL_LOG_INTERVAL_NS)
+    return;
+  log_event (EV_LINK_FULL, "kbps=%u refused=%u pending=%u wait_ms=%d",
+             p->link_kbps, p->link_full_refusals,
+             admissions_pending (p->admissions),
+             (int)(admissions_wait_ns (p->admissions, now_ns) / NS_PER_MS));
+  p->link_full_logged_ns = now_ns;
+  p->link_full_refusals = 0;
+}
+
+/* How the request that IN offers by F will arrive.  */
+static struct lineup_arrival
+expect_arrival (const struct inbound *in, const struct frame *f,
+                int64_t now_ns)
+{
+  const struct nodes *p = in->link->nodes;
+  const struct peer *peer = find_by_name (p, in->name);
+  uint32_t kbps = p->link_kbps;
+  if (peer != NULL && takes_parts (p, peer))
+    kbps = MIN (kbps, peer->state.load.link_kbps);
+  return (struct lineup_arrival){
+    .transfer_ns = link_time_ns (f->offered_bytes, kbps),
+    .backlog_ns = MAX (admissions_wait_ns (p->admissions, now_ns),
+                       f->offer_wait_ms * NS_PER_MS),
+    .before = admissions_pending (p->admissions),
+  };
+}
+
+static void
+refuse_offer (struct inbound *in, const struct frame *f,
+              struct attempt_result *refusal, int64_t now_ns)
+{
+  struct nodes *p = in->link->nodes;
+  struct frame_state state;
+  counter_add (COUNTER_admissions_refused_total, 1);
+  if (refusal->reason == REASON_LINK_FULL)
+    record_link_full (p, now_ns);
+  log_event (EV_ADMISSION_REFUSED,
+             "request=%s peer=%s call=%" G_GUINT64_FORMAT
+             " reason=%s bytes=%" G_GUINT64_FORMAT
+             " wait_ms=%d pending=%u retry_ms=%d",
+             f->request.id, in->name, f->call_id,
+             reason_word (refusal->reason), f->offered_bytes,
+             (int)(admissions_wait_ns (p->admissions, now_ns) / NS_PER_MS),
+             admissions_pending (p->admissions),
+             (int)(refusal->retry_after_ns / NS_PER_MS));
+  fill_state (p, &state);
+  link_send (in->link, frame_result (f->call_id, refusal, &state));
+}
+
 static void
+admit_offer (struct inbound *in, const struct frame *f)
+{
+  struct nodes *p = in->link->nodes;
+  struct frame_state state;
+  counter_add (COUNTER_admissions_total, 1);
+  fill_state (p, &state);
+  link_send (in->link, frame_admit (f->call_id, &state));
+}
+
+/* Another node wants to send a request with a large body.  False if the offer
+   is malformed.  */
+static bool
+on_offer (struct inbound *in, struct frame *f)
+{
+  struct nodes *p = in->link->nodes;
+  int64_t now_ns = clock_now_ns ();
+  struct attempt_result refusal;
+  if (p->admissions == NULL || g_hash_table_contains (in->jobs, &f->call_id))
+    return false;
+  admissions_sweep (p->admissions, now_ns, on_admission_end, NULL);
+  struct lineup_arrival arrival = expect_arrival (in, f, now_ns);
+  int64_t room_after_ns = admissions_room_after_ns (p->admissions, now_ns);
+  f->request.from_peer = true;
+  if (!p->hooks.check_offer (p->hooks.arg, &f->request, &arrival, &refusal))
+    {
+      refuse_offer (in, f, &refusal, now_ns);
+      return true;
+    }
+  if (room_after_ns > 0)
+    {
+      refusal = attempt_not_run (REASON_LINK_FULL, room_after_ns);
+      refuse_offer (in, f, &refusal, now_ns);
+      return true;
+    }
+  if (!admissions_add (p->admissions, in, f->call_id, f->offered_bytes,
+                       arrival.backlog_ns + arrival.transfer_ns,
+                       f->request.deadline_ns, now_ns))
+    return false;
+  admit_offer (in, f);
+  return true;
+}
+
+/* False if the frame is not allowed now.  */
+static bool
 on_inbound_frame (struct inbound *in, struct frame *f)
 {
   struct nodes *p = in->link->nodes;
   switch (f->kind)
     {
+    case FRAME_OFFER:
+      return on_offer (in, f);
     case FRAME_HELLO:
       on_hello (in, &f->node);
       break;
     case FRAME_REQUEST:
+      if (is_repeated (in, f))
+        return false;
       start_inbound_job (in, f);
       break;
     case FRAME_CANCEL:
@@ -433,6 +623,7 @@
     default:
       break;
     }
+  return true;
 }
 
 /* The connection of the dialling node is lost, so its requests are
@@ -447,6 +638,8 @@
                              ((struct inbound_job *)l->data)->handle);
   g_list_free (jobs);
   g_hash_table_destroy (in->jobs);
+  if (p->admissions != NULL)
+    admissions_close (p->admissions, in);
   g_queue_unlink (&p->inbounds, &in->list_link);
   in->link->inbound = NULL;
   link_close (in->link);
@@ -477,12 +670,13 @@
 static bool
 process_whole_frame (struct link *link, struct frame *f)
 {
+  bool valid = true;
   if (link->peer != NULL)
     on_peer_frame (link->peer, f, clock_now_ns ());
   else if (link->inbound != NULL)
-    on_inbound_frame (link->inbound, f);
+    valid = on_inbound_frame (link->inbound, f);
   attempt_request_clear (&f->request);
-  return true;
+  return valid || refuse_frame ("frame not allowed now");
 }
 
 /* Process a frame that arrived in parts: DATA includes its length prefix.  */
@@ -505,6 +699,16 @@
   return process_whole_frame (link, &f);
 }
 
+/* A part of an admitted request is no other traffic.  */
+static void
+count_part (struct inbound *in, const struct frame *f, int64_t now_ns)
+{
+  const struct nodes *p = in->link->nodes;
+  if (p->admissions != NULL
+      && admissions_receive (p->admissions, in, f->stream, f->length))
+    admissions_count_other (p->admissions, -(double)f->length, now_ns);
+}
+
 static bool
 process_part (struct link *link, const struct frame *f)
 {
@@ -512,6 +716,8 @@
   int64_t now_ns = clock_now_ns ();
   if (link->peer != NULL)
     link->peer->received_ns = link->peer->heard_of_ns = now_ns;
+  else if (link->inbound != NULL)
+    count_part (link->inbound, f, now_ns);
   switch (assembly_add (link->assembly, f->stream, f->part_flags, f->text,
                         f->length, now_ns, &data))
     {
@@ -583,6 +789,7 @@
       return;
     }
   counter_add (COUNTER_peer_bytes_in_total, (uint64_t)length);
+  nodes_count_caller_bytes_in (link->nodes, (size_t)length);
   g_byte_array_append (link->input, (const guint8 *)buffer->base,
                        (guint)length);
   process_input (link);
@@ -685,6 +892,8 @@
   GHashTableIter iter;
   gpointer value;
   int64_t since_ns = now_ns - PART_TIMEOUT_NS;
+  if (p->admissions != NULL)
+    admissions_sweep (p->admissions, now_ns, on_admission_end, NULL);
   for (GList *l = p->inbounds.head; l != NULL; l = l->next)
     assembly_expire (((struct inbound *)l->data)->link->assembly, since_ns);
   g_hash_table_iter_init (&iter, p->by_address);
@@ -711,6 +920,7 @@
   p->self = *self;
   p->link_kbps = link_kbps;
   p->sender = sender_new (loop, link_kbps);
+  p->admissions = link_kbps == 0 ? NULL : admissions_new (link_kbps);
   p->hooks = *hooks;
   p->by_address = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&p->inbounds);
@@ -840,27 +1050,28 @@
   return NULL;
 }
 
+void
+nodes_count_caller_bytes_in (struct nodes *p, size_t bytes)
+{
+  if (p->admissions != NULL)
+    admissions_count_other (p->admissions, (double)bytes, clock_now_ns ());
+}
+
 void
 nodes_count_caller_bytes_out (struct nodes *p, size_t bytes)
 {
   sender_charge (p->sender, bytes);
 }
 
-/* The reader detects a broken connection, and ends the call.  */
-static void
-send_request (const struct node_call *call,
-              const struct attempt_request *request)
+/* Whether to ask the other node before the body is sent.  */
+static bool
+must_offer (const struct nodes *p, const struct peer *peer,
+            const struct attempt_request *request)
 {
-  struct peer *peer = call->peer;
-  struct nodes *p = peer->nodes;
-  struct sender_order order
-      = { call->call_id, request->priority, request->soft_deadline_ns };
-  GString *frame = frame_request (call->call_id, request, &peer->terms,
-                                  peer->clock_offset_ns);
-  if (takes_parts (p, peer))
-    sender_send_parts (p->sender, &peer->link->lane, frame, &order);
-  else
-    link_send (peer->link, frame);
+  return takes_parts (p, peer) && request->body->len > LINK_SMALL_BYTES
+         && link_time_ns (request->body->len,
+                          MIN (p->link_kbps, peer->state.load.link_kbps))
+                > OFFER_MIN_NS;
 }
 
 struct node_call *
@@ -881,7 +1092,17 @@
   if (request->body->len > LINK_SMALL_BYTES)
     peer->bytes_since_report += request->body->len;
   counter_add (COUNTER_requests_forwarded_total, 1);
-  send_request (call, request);
+  if (must_offer (p, peer, request))
+    {
+      call->offered = request;
+      counter_add (COUNTER_offers_total, 1);
+      link_send (peer->link, frame_offer (call->call_id, request, &peer->terms,
+                                          peer->clock_offset_ns,
+                                          (uint32_t)(sender_wait_ns (p->sender)
+                                                     / NS_PER_MS)));
+    }
+  else
+    send_request (call, request);
   return call;
 }
 
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -7,6 +7,7 @@
 #ifndef MESH_NODES_H
 #define MESH_NODES_H
 
+#include "limit/lineup.h"
 #include "mesh/attempt.h"
 #include "mesh/frame.h"
 #include <uv.h>
@@ -35,6 +36,11 @@
   void *(*run_request) (void *arg, struct attempt_request *request,
                         attempt_done *done, void *done_arg);
   void (*cancel_request) (void *arg, void *handle);
+  /* Whether to accept REQUEST, whose head and body have yet to arrive.  False
+     with the reason in *REFUSAL.  */
+  bool (*check_offer) (void *arg, const struct attempt_request *request,
+                       const struct lineup_arrival *arrival,
+                       struct attempt_result *refusal);
   /* A compressed document for another node; NULL: none.  */
   const char *(*get_document) (void *arg,
                                enum frame_document_type document_type,
@@ -62,6 +68,7 @@
 void nodes_visit (const struct nodes *p, nodes_visitor *each, void *arg);
 
 /* BYTES were received from or sent to callers, over the same link.  */
+void nodes_count_caller_bytes_in (struct nodes *p, size_t bytes);
 void nodes_count_caller_bytes_out (struct nodes *p, size_t bytes);
 
 /* The expected time until a request with a body of BODY_BYTES that is sent now
@@ -76,7 +83,9 @@
    is cut off from others that go on.  */
 uint32_t nodes_count_known (const struct nodes *p, int64_t since_ns);
 
-/* Send REQUEST, which stays the caller's, to the node NAME.  DONE is called
+/* Send REQUEST, which stays the caller's and unchanged until the call has
+   ended, to the node NAME.  A large body is offered first, and sent once the
+   other node admits it.  DONE is called
    once, later, unless the call is cancelled.  NULL if the node is not
    connected.  */
 struct node_call *nodes_send (struct nodes *p, const char *name,
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -70,6 +70,7 @@
   uint64_t fingerprint;     /* of the request's content, for retries */
   uint32_t sends;           /* attempts that reached a target */
   uint32_t refusals;        /* nodes that refused the request */
+  bool waited_for_link;     /* for room for its body, after a refusal */
   bool in_doubt;            /* an earlier attempt may have run */
   GPtrArray *tried_targets; /* nodes that ran or refused the request */
   char *node_name;          /* name of the node that was last chosen */
@@ -350,7 +351,8 @@
   bool moving = r->reason == REASON_NOT_OWNER || r->reason == REASON_MOVING
                 || r->reason == REASON_LEASE_LAPSED
                 || r->reason == REASON_TARGET_DOWN
-                || r->reason == REASON_DRAINING;
+                || r->reason == REASON_DRAINING
+                || r->reason == REASON_OWNER_UNREACHABLE;
   double share
       = r->reason == REASON_MOVING ? MOVE_WAIT_SHARE : OWNER_WAIT_SHARE;
   if (keyed && r->reason == REASON_NOT_OWNER)
@@ -360,6 +362,15 @@
       retry_later (p, LOOKUP_RETRY_MS * NS_PER_MS);
       return;
     }
+  /* Waiting once for room costs less than a retry of the caller, which sends
+     the body again over the link of this node.  */
+  if (keyed && r->reason == REASON_LINK_FULL && !p->waited_for_link
+      && may_wait (p, OWNER_WAIT_SHARE, now_ns + r->retry_after_ns))
+    {
+      p->waited_for_link = true;
+      retry_later (p, r->retry_after_ns);
+      return;
+    }
   if (!keyed && p->refusals < REFUSALS_MAX && now_ns < p->request.deadline_ns)
     {
       g_ptr_array_add (p->tried_targets, g_strdup (p->node_name));
@@ -705,6 +716,8 @@
     }
   set_deadlines (p);
   write_request (p);
+  nodes_count_caller_bytes_in (r->deps.nodes,
+                               p->request.head->len + p->request.body->len);
   try_target (p);
 }
 
