Schedule admitted bodies, and test the capacity of a link in virtual time

Cause: bodies that several nodes send at once to a node behind a slow link fill the queue in front of that link, where lookups wait behind them: up to a quarter second.

Change: an admission states when to begin, after the bodies admitted earlier, and a connection is paced at the rate of the receiver's link. limit/link has the token bucket apart from the queue.

--- a/src/limit/link.c
+++ b/src/limit/link.c
@@ -10,9 +10,9 @@
    leases and headers of packets, and keeps the queue on this side of the
    link.  */
 #define SHARE_USED 0.9
-/* Tokens that an idle link accumulates: two parts, and two milliseconds of a
+/* Tokens that an idle link accumulates: a few parts, and two milliseconds of a
    fast link, so that the resolution of timers does not limit its rate.  */
-#define BURST_BYTES (2.0 * LINK_SMALL_BYTES)
+#define QUEUE_BURST_PARTS 2
 #define BURST_NS (2 * NS_PER_MS)
 /* Limit on the debt, in time of the link.  Small frames beyond that leave
    nothing anyway.  */
@@ -52,16 +52,50 @@
 link_rate_left_kbps (const struct link_meter *m, uint32_t kbps, int64_t now_ns)
 {
   double used = meter_at (m, now_ns) / bytes_in (METER_TIME_CONSTANT_NS, kbps);
-  return (uint32_t)ceil (kbps * fmax (SHARE_LEFT_MIN, 1 - used));
+  return (uint32_t)ceil (kbps * fmax (SHARE_LEFT_MIN, SHARE_USED - used));
+}
+
+void
+link_bucket_init (struct link_bucket *b, uint32_t kbps, unsigned parts,
+                  int64_t now_ns)
+{
+  b->kbps = kbps;
+  b->burst = (double)parts * LINK_SMALL_BYTES + bytes_in (BURST_NS, kbps);
+  b->tokens = b->burst;
+  b->tokens_ns = now_ns;
+}
+
+static double
+tokens_at (const struct link_bucket *b, int64_t now_ns)
+{
+  double earned = bytes_in (now_ns - b->tokens_ns, b->kbps) * SHARE_USED;
+  return fmin (b->burst, b->tokens + earned);
+}
+
+void
+link_bucket_take (struct link_bucket *b, size_t bytes, int64_t now_ns)
+{
+  double debt_max = bytes_in (DEBT_MAX_NS, b->kbps);
+  b->tokens = fmax (-debt_max, tokens_at (b, now_ns) - (double)bytes);
+  b->tokens_ns = now_ns;
+}
+
+int64_t
+link_bucket_wait_ns (const struct link_bucket *b, int64_t now_ns)
+{
+  double tokens = tokens_at (b, now_ns);
+  if (tokens > 0)
+    return 0;
+  return 1
+         + (int64_t)(-tokens / SHARE_USED / bytes_in (NS_PER_S, b->kbps)
+                     * (double)NS_PER_S);
 }
 
 void
 link_queue_init (struct link_queue *q, uint32_t kbps, int64_t now_ns)
 {
   memset (q, 0, sizeof *q);
-  q->kbps = kbps;
-  q->tokens_ns = now_ns;
-  q->tokens = BURST_BYTES + bytes_in (BURST_NS, kbps);
+  link_bucket_init (&q->bucket, kbps, QUEUE_BURST_PARTS, now_ns);
 }
 
 static gint
@@ -101,50 +135,27 @@
   item->unsent = 0;
 }
 
-static double
-tokens_at (const struct link_queue *q, int64_t now_ns)
-{
-  double burst = BURST_BYTES + bytes_in (BURST_NS, q->kbps);
-  double earned = bytes_in (now_ns - q->tokens_ns, q->kbps) * SHARE_USED;
-  return fmin (burst, q->tokens + earned);
-}
-
-void
-link_queue_charge (struct link_queue *q, size_t bytes, int64_t now_ns)
-{
-  double debt_max = bytes_in (DEBT_MAX_NS, q->kbps);
-  q->tokens = fmax (-debt_max, tokens_at (q, now_ns) - (double)bytes);
-  q->tokens_ns = now_ns;
-}
-
-int64_t
-link_queue_wait_ns (const struct link_queue *q, int64_t now_ns)
-{
-  double tokens = tokens_at (q, now_ns);
-  if (tokens > 0)
-    return 0;
-  return 1
-         + (int64_t)(-tokens / SHARE_USED / bytes_in (NS_PER_S, q->kbps)
-                     * (double)NS_PER_S);
-}
-
 struct link_item *
-link_queue_next (struct link_queue *q, link_may_send *may_send, size_t *bytes,
-                 int64_t now_ns)
+link_queue_next (struct link_queue *q, link_item_wait *wait, size_t *bytes,
+                 int64_t *wait_ns, int64_t now_ns)
 {
-  if (link_queue_wait_ns (q, now_ns) > 0)
-    return NULL;
+  int64_t tokens_wait_ns = link_bucket_wait_ns (&q->bucket, now_ns);
+  *wait_ns = INT64_MAX;
   for (GList *l = q->items.head; l != NULL; l = l->next)
     {
       struct link_item *item = l->data;
-      if (may_send != NULL && !may_send (item))
+      int64_t item_wait_ns = MAX (item->start_ns - now_ns,
+                                  wait == NULL ? 0 : wait (item, now_ns));
+      item_wait_ns = MAX (item_wait_ns, tokens_wait_ns);
+      *wait_ns = MIN (*wait_ns, item_wait_ns);
+      if (item_wait_ns > 0)
         continue;
       *bytes = MIN (item->unsent, (size_t)LINK_SMALL_BYTES);
       item->unsent -= *bytes;
       q->unsent -= *bytes;
       if (item->unsent == 0)
         g_queue_unlink (&q->items, l);
-      link_queue_charge (q, *bytes, now_ns);
+      link_bucket_take (&q->bucket, *bytes, now_ns);
       return item;
     }
   return NULL;
--- a/src/limit/link.h
+++ b/src/limit/link.h
@@ -37,16 +37,37 @@
 /* Count BYTES; negative ones were counted before and are taken back.  */
 void link_meter_add (struct link_meter *m, double bytes, int64_t now_ns);
 
-/* What traffic other than that of M leaves of KBPS, at least a quarter.  */
+/* What the traffic M leaves of KBPS for bodies: of nine tenths of it, and at
+   least a quarter.  */
 uint32_t link_rate_left_kbps (const struct link_meter *m, uint32_t kbps,
                               int64_t now_ns);
 
+/* Token bucket of a direction of a link, or of one connection.  */
+struct link_bucket
+{
+  uint32_t kbps; /* not 0 */
+  double burst;  /* bytes */
+  double tokens; /* bytes; negative: a debt */
+  int64_t tokens_ns;
+};
+
+/* A full bucket that holds PARTS parts, and two milliseconds at KBPS.  */
+void link_bucket_init (struct link_bucket *b, uint32_t kbps, unsigned parts,
+                       int64_t now_ns);
+
+/* Take tokens for BYTES, if need be as a debt.  */
+void link_bucket_take (struct link_bucket *b, size_t bytes, int64_t now_ns);
+
+/* The time until a part may be sent; 0: now.  */
+int64_t link_bucket_wait_ns (const struct link_bucket *b, int64_t now_ns);
+
 /* A frame that is sent in parts.  */
 struct link_item
 {
   uint32_t priority; /* 0 is the most urgent */
   int64_t soft_deadline_ns;
-  size_t unsent; /* bytes; above 0 while the item is queued */
+  int64_t start_ns; /* not sent before */
+  size_t unsent;    /* bytes; above 0 while the item is queued */
   void *user_data;
   /* Set by the queue.  */
   uint64_t sequence;
@@ -55,12 +76,10 @@
 
 struct link_queue
 {
-  uint32_t kbps; /* not 0 */
-  GQueue items;  /* struct link_item, in the order of sending */
+  struct link_bucket bucket;
+  GQueue items; /* struct link_item, in the order of sending */
   uint64_t unsent;
   uint64_t last_sequence;
-  double tokens; /* bytes; negative: a debt */
-  int64_t tokens_ns;
 };
 
 void link_queue_init (struct link_queue *q, uint32_t kbps, int64_t now_ns);
@@ -72,18 +91,15 @@
 /* Remove ITEM if it is queued.  */
 void link_queue_remove (struct link_queue *q, struct link_item *item);
 
-/* Take tokens for BYTES that are sent without waiting.  */
-void link_queue_charge (struct link_queue *q, size_t bytes, int64_t now_ns);
+/* The time until the connection of ITEM takes a part; INT64_MAX: not known,
+   link_queue_next is called again when it does.  */
+typedef int64_t link_item_wait (const struct link_item *item, int64_t now_ns);
 
-/* The first item of which a part may be sent now, according to the tokens and
-   to MAY_SEND; NULL: none.  *BYTES of it count as sent.  An item that is sent
-   completely has left the queue.  */
-typedef bool link_may_send (const struct link_item *item);
-struct link_item *link_queue_next (struct link_queue *q,
-                                   link_may_send *may_send, size_t *bytes,
+/* The first item of which a part may be sent now.  *BYTES of it count as sent;
+   an item that is sent completely has left the queue.  NULL: none, and
+   *WAIT_NS is the time until there may be one, or INT64_MAX.  */
+struct link_item *link_queue_next (struct link_queue *q, link_item_wait *wait,
+                                   size_t *bytes, int64_t *wait_ns,
                                    int64_t now_ns);
 
-/* The time until the tokens allow a part; 0: now.  */
-int64_t link_queue_wait_ns (const struct link_queue *q, int64_t now_ns);
-
 #endif
--- a/src/mesh/admissions.c
+++ b/src/mesh/admissions.c
@@ -8,6 +8,10 @@
    the link busy for several round trips between nodes, and bounds the delay of
    small requests behind the bodies.  */
 #define OUTSTANDING_MAX_NS (250 * NS_PER_MS)
+/* A body is sent this long before those admitted earlier are expected to have
+   arrived, so that the link is not idle if they arrive early or a sender is
+   slow.  */
+#define START_LEAD_NS (20 * NS_PER_MS)
 /* An admission expires after this many times the expected transfer, and not
    before EXPIRY_MIN_NS: transfers slow down while others start.  */
 #define EXPIRY_FACTOR 2
@@ -87,6 +91,13 @@
   return excess_ns < 0 ? 0 : excess_ns + 1;
 }
 
+int64_t
+admissions_start_ns (const struct admissions *a, int64_t now_ns)
+{
+  int64_t wait_ns = admissions_wait_ns (a, now_ns);
+  return wait_ns <= START_LEAD_NS ? 0 : wait_ns - START_LEAD_NS;
+}
+
 uint32_t
 admissions_pending (const struct admissions *a)
 {
--- a/src/mesh/admissions.h
+++ b/src/mesh/admissions.h
@@ -45,6 +45,11 @@
 /* When there is room for another body: 0: now, else how long until then.  */
 int64_t admissions_room_after_ns (const struct admissions *a, int64_t now_ns);
 
+/* When the sender of a body that is admitted now should begin: bodies that
+   arrive together would meet in the queue in front of the link, and delay
+   small requests there.  */
+int64_t admissions_start_ns (const struct admissions *a, int64_t now_ns);
+
 /* The number of admitted requests that have not arrived.  */
 uint32_t admissions_pending (const struct admissions *a);
 
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -285,12 +285,14 @@
 }
 
 GString *
-frame_admit (uint64_t call_id, const struct frame_state *state)
+frame_admit (uint64_t call_id, uint32_t start_ms,
+             const struct frame_state *state)
 {
   struct writer w;
-  writer_begin (&w, FRAME_ADMIT, STATE_ITEMS + 1 + has_extra (state));
+  writer_begin (&w, FRAME_ADMIT, STATE_ITEMS + 2 + has_extra (state));
   put_state (&w, state);
   put_uint (&w, call_id);
+  put_uint (&w, start_ms);
   put_extra (&w, state);
   return writer_finish (&w);
 }
@@ -573,6 +575,7 @@
     case FRAME_ADMIT:
       read_state (r, &f->state);
       f->call_id = read_uint (r);
+      f->start_ms = read_u32 (r);
       read_extra (r, &f->state);
       break;
     default:
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -101,6 +101,7 @@
   uint32_t part_flags;            /* PART */
   uint64_t offered_bytes;         /* OFFER: of the head and body */
   uint32_t offer_wait_ms; /* OFFER: until the sender's link is free for them */
+  uint32_t start_ms;      /* ADMIT: to wait before the body is sent */
 };
 
 /* Each function serializes one frame, which the caller frees.  */
@@ -122,7 +123,8 @@
 GString *frame_offer (uint64_t call_id, const struct attempt_request *r,
                       const struct target_terms *terms,
                       int64_t clock_offset_ns, uint32_t wait_ms);
-GString *frame_admit (uint64_t call_id, const struct frame_state *state);
+GString *frame_admit (uint64_t call_id, uint32_t start_ms,
+                      const struct frame_state *state);
 GString *frame_part (uint64_t stream, uint32_t flags, const char *data,
                      size_t length);
 
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -324,12 +324,13 @@
 /* The reader detects a broken connection, and ends the call.  */
 static void
 send_request (const struct node_call *call,
-              const struct attempt_request *request)
+              const struct attempt_request *request, int64_t start_ns)
 {
   struct peer *peer = call->peer;
   struct nodes *p = peer->nodes;
   struct sender_order order
-      = { call->call_id, request->priority, request->soft_deadline_ns };
+      = { call->call_id, request->priority, request->soft_deadline_ns,
+          start_ns, peer->state.load.link_kbps };
   GString *frame = frame_request (call->call_id, request, &peer->terms,
                                   peer->clock_offset_ns);
   if (takes_parts (p, peer))
@@ -341,7 +342,8 @@
 /* The other node admits the request of a call.  It may have been cancelled
    meanwhile.  */
 static void
-on_admit (struct peer *peer, uint64_t call_id)
+on_admit (struct peer *peer, uint64_t call_id, uint32_t start_ms,
+          int64_t now_ns)
 {
   struct node_call *call = g_hash_table_lookup (peer->calls, &call_id);
   if (call == NULL || call->offered == NULL)
@@ -351,7 +353,7 @@
     }
   const struct attempt_request *request = call->offered;
   call->offered = NULL;
-  send_request (call, request);
+  send_request (call, request, now_ns + start_ms * NS_PER_MS);
 }
 
 static void
@@ -369,7 +371,7 @@
       finish_call (peer, f);
     }
   else if (f->kind == FRAME_ADMIT)
-    on_admit (peer, f->call_id);
+    on_admit (peer, f->call_id, f->start_ms, now_ns);
   else if (f->kind == FRAME_DOCUMENT)
     p->hooks.on_document (p->hooks.arg, &peer->node, f->document_type,
                           f->revision, f->text, f->length);
@@ -382,15 +384,18 @@
 /* Send FRAME, in parts if the node at the other end takes them.  */
 static void
 send_to_dialler (struct inbound *in, GString *frame,
-                 const struct sender_order *order)
+                 struct sender_order *order)
 {
   struct nodes *p = in->link->nodes;
   const struct peer *peer
       = frame->len <= LINK_SMALL_BYTES ? NULL : find_by_name (p, in->name);
-  if (peer != NULL && takes_parts (p, peer))
-    sender_send_parts (p->sender, &in->link->lane, frame, order);
-  else
-    link_send (in->link, frame);
+  if (peer == NULL || !takes_parts (p, peer))
+    {
+      link_send (in->link, frame);
+      return;
+    }
+  order->peer_kbps = peer->state.load.link_kbps;
+  sender_send_parts (p->sender, &in->link->lane, frame, order);
 }
 
 static void
@@ -400,8 +405,9 @@
   struct inbound *in = job->inbound;
   const struct nodes *p = in->link->nodes;
   struct frame_state state;
-  struct sender_order order
-      = { job->call_id, job->priority, job->soft_deadline_ns };
+  struct sender_order order = { .stream = job->call_id,
+                                .priority = job->priority,
+                                .soft_deadline_ns = job->soft_deadline_ns };
   fill_state (p, &state);
   send_to_dialler (in, frame_result (job->call_id, result, &state), &order);
   g_hash_table_remove (in->jobs, &job->call_id);
@@ -457,8 +463,8 @@
   int64_t revision = 0;
   const char *text = p->hooks.get_document (p->hooks.arg, document_type,
                                             &length, &revision);
-  struct sender_order order
-      = { STREAM_DOCUMENT | ++p->last_document, 0, clock_now_ns () };
+  struct sender_order order = { .stream = STREAM_DOCUMENT | ++p->last_document,
+                                .soft_deadline_ns = clock_now_ns () };
   if (text != NULL)
     send_to_dialler (
         in, frame_document (document_type, revision, text, length), &order);
@@ -551,14 +557,16 @@
   link_send (in->link, frame_result (f->call_id, refusal, &state));
 }
 
+/* Admit the body that F offers, to be sent after START_NS.  */
 static void
-admit_offer (struct inbound *in, const struct frame *f)
+admit_offer (struct inbound *in, const struct frame *f, int64_t start_ns)
 {
   struct nodes *p = in->link->nodes;
   struct frame_state state;
   counter_add (COUNTER_admissions_total, 1);
   fill_state (p, &state);
-  link_send (in->link, frame_admit (f->call_id, &state));
+  link_send (in->link, frame_admit (f->call_id,
+                                    (uint32_t)(start_ns / NS_PER_MS), &state));
 }
 
 /* Another node wants to send a request with a large body.  False if the offer
@@ -573,6 +581,7 @@
     return false;
   admissions_sweep (p->admissions, now_ns, on_admission_end, NULL);
   struct lineup_arrival arrival = expect_arrival (in, f, now_ns);
+  int64_t start_ns = admissions_start_ns (p->admissions, now_ns);
   int64_t room_after_ns = admissions_room_after_ns (p->admissions, now_ns);
   f->request.from_peer = true;
   if (!p->hooks.check_offer (p->hooks.arg, &f->request, &arrival, &refusal))
@@ -590,7 +599,7 @@
                        arrival.backlog_ns + arrival.transfer_ns,
                        f->request.deadline_ns, now_ns))
     return false;
-  admit_offer (in, f);
+  admit_offer (in, f, start_ns);
   return true;
 }
 
@@ -1102,7 +1111,7 @@
                                                      / NS_PER_MS)));
     }
   else
-    send_request (call, request);
+    send_request (call, request, 0);
   return call;
 }
 
--- a/src/mesh/sender.c
+++ b/src/mesh/sender.c
@@ -2,7 +2,6 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
-#include "limit/link.h"
 #include "mesh/assembly.h"
 #include "mesh/frame.h"
 #include <netinet/in.h>
@@ -21,6 +20,10 @@
   uv_timer_t timer;
 };
 
+/* Parts that a connection may send at once over an idle link: more would delay
+   small frames at a slow receiver.  */
+#define LANE_BURST_PARTS 1
+
 /* A frame that is sent in parts.  */
 struct stream
 {
@@ -137,27 +140,28 @@
 sender_send (struct sender *s, struct sender_lane *lane, GString *frame)
 {
   if (s->kbps != 0)
-    link_queue_charge (&s->queue, frame->len, clock_now_ns ());
+    link_bucket_take (&s->queue.bucket, frame->len, clock_now_ns ());
   return write_frame (s, lane, frame);
 }
 
-/* Whether a part of ITEM can be written at once, and its receiver can take
-   it.  */
-static bool
-may_send (const struct link_item *item)
+/* When a part of ITEM can be written at once, and its receiver can take it. */
+static int64_t
+item_wait_ns (const struct link_item *item, int64_t now_ns)
 {
   const struct stream *stream = item->user_data;
   const struct sender_lane *lane = stream->lane;
-  if (uv_stream_get_write_queue_size ((uv_stream_t *)lane->tcp) > 0)
-    return false;
-  return stream->begun
-         || (lane->begun < ASSEMBLY_STREAMS_MAX
-             && lane->begun_bytes + stream->frame->len
-                    <= (size_t)FRAME_BYTES_MAX + FRAME_HEADER_BYTES);
+  bool may_begin = lane->begun < ASSEMBLY_STREAMS_MAX
+                   && lane->begun_bytes + stream->frame->len
+                          <= (size_t)FRAME_BYTES_MAX + FRAME_HEADER_BYTES;
+  if (uv_stream_get_write_queue_size ((uv_stream_t *)lane->tcp) > 0
+      || (!stream->begun && !may_begin))
+    return INT64_MAX; /* on_written, or the end of another stream */
+  return link_bucket_wait_ns (&lane->bucket, now_ns);
 }
 
 static void
-send_part (struct sender *s, struct stream *stream, size_t bytes)
+send_part (struct sender *s, struct stream *stream, size_t bytes,
+           int64_t now_ns)
 {
   struct sender_lane *lane = stream->lane;
   size_t offset = stream->frame->len - stream->item.unsent - bytes;
@@ -172,6 +176,7 @@
   if (stream->item.unsent == 0)
     flags |= PART_LAST;
   counter_add (COUNTER_parts_total, 1);
+  link_bucket_take (&lane->bucket, bytes, now_ns);
   write_frame (
       s, lane,
       frame_part (stream->number, flags, stream->frame->str + offset, bytes));
@@ -191,13 +196,13 @@
 {
   struct link_item *item;
   size_t bytes;
+  int64_t wait_ns;
   int64_t now_ns = clock_now_ns ();
-  while ((item = link_queue_next (&s->queue, may_send, &bytes, now_ns))
+  while ((item = link_queue_next (&s->queue, item_wait_ns, &bytes, &wait_ns,
+                                  now_ns))
          != NULL)
-    send_part (s, item->user_data, bytes);
-  int64_t wait_ns = link_queue_wait_ns (&s->queue, now_ns);
-  /* Connections that take no more call on_written.  */
-  if (s->queue.unsent > 0 && wait_ns > 0)
+    send_part (s, item->user_data, bytes, now_ns);
+  if (wait_ns != INT64_MAX)
     uv_timer_start (&s->timer, on_timer,
                     (uint64_t)((wait_ns + NS_PER_MS - 1) / NS_PER_MS), 0);
 }
@@ -214,10 +219,14 @@
   stream->frame = frame;
   stream->item.priority = order->priority;
   stream->item.soft_deadline_ns = order->soft_deadline_ns;
+  stream->item.start_ns = order->start_ns;
   stream->item.unsent = frame->len;
   stream->item.user_data = stream;
   stream->lane_link.data = stream;
   g_queue_push_tail_link (&lane->streams, &stream->lane_link);
+  if (lane->bucket.kbps != order->peer_kbps)
+    link_bucket_init (&lane->bucket, order->peer_kbps, LANE_BURST_PARTS,
+                      clock_now_ns ());
   link_queue_add (&s->queue, &stream->item);
   pump (s);
   return true;
@@ -245,7 +254,7 @@
 sender_charge (struct sender *s, size_t bytes)
 {
   if (s->kbps != 0)
-    link_queue_charge (&s->queue, bytes, clock_now_ns ());
+    link_bucket_take (&s->queue.bucket, bytes, clock_now_ns ());
 }
 
 int64_t
--- a/src/mesh/sender.h
+++ b/src/mesh/sender.h
@@ -7,6 +7,7 @@
 #ifndef MESH_SENDER_H
 #define MESH_SENDER_H
 
+#include "limit/link.h"
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -18,9 +19,10 @@
 struct sender_lane
 {
   uv_tcp_t *tcp;
-  GQueue streams;     /* frames that are not sent completely */
-  uint32_t begun;     /* of these, those of which a part was sent */
-  size_t begun_bytes; /* total length of those */
+  GQueue streams;            /* frames that are not sent completely */
+  uint32_t begun;            /* of these, those of which a part was sent */
+  size_t begun_bytes;        /* total length of those */
+  struct link_bucket bucket; /* of the link at the other end */
 };
 
 /* How urgent a frame is that is sent in parts.  */
@@ -29,6 +31,9 @@
   uint64_t stream;   /* its number, unique among those of its lane */
   uint32_t priority; /* 0 is the most urgent */
   int64_t soft_deadline_ns;
+  int64_t start_ns;   /* no part is sent earlier */
+  uint32_t peer_kbps; /* rate of the receiver's link, not 0: a faster sender
+                         would fill the queue in front of that link */
 };
 
 /* KBPS: the rate of the link; 0: not stated.  */
