Bound the heads, bodies and pipelines of HTTP peers

A server may send bytes that are no valid response without end: interim responses, chunk extensions, trailers and responses to other calls had no bound, and a body one of 64 MiB. The parser's bound of a head is a variable of its library that the server set, so the client's bound was that of the server which had read last. A caller's pipeline was parsed a whole read at a time, and responses that a caller did not read were kept without bound.

All bytes of a call that are no body count against 64 kB, fields against 200 for each message; the user of the client sets the bound of a body and is told of each connection that was closed at a bound. The server pauses within a read at 64 requests, and while 256 kB of responses are unread.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include "http/bounds.h"
 #include "http/net.h"
 #include "settings/address.h"
 #include <http_parser.h>
@@ -15,7 +16,7 @@
   IDLE_MAX_MS = 4000,
   MS_PER_S = 1000,
   CONNECT_TIMEOUT_MS = 1000, /* ample for a target on the same instance */
-  BODY_MAX_BYTES = 64 << 20
+  BODY_BYTES_MAX_INITIAL = 64 << 20
 };
 
 struct http_client
@@ -24,6 +25,9 @@
   struct sockaddr_storage address;
   uint32_t connections_max;
   uint32_t connection_count;
+  uint32_t body_bytes_max;
+  http_unbounded_fn *on_unbounded; /* may be NULL */
+  void *unbounded_arg;
   GQueue idle_connections; /* last used first */
   GQueue open_connections; /* struct connection */
   GQueue queued_calls;     /* calls that have no connection yet */
@@ -41,6 +45,11 @@
   struct http_call *call;
   struct headers *headers;
   GString *body;
+  size_t received;      /* bytes since CALL was sent */
+  size_t body_received; /* bytes of bodies in RECEIVED */
+  size_t skipped_body;  /* bytes of bodies of skipped messages */
+  uint32_t chunk_count; /* chunks in RECEIVED */
+  const char *bound;    /* the bound that the response exceeds, or NULL */
   unsigned open_handles;
   uint32_t idle_ms; /* how long it is kept without a call */
   bool connected;
@@ -79,10 +88,11 @@
 }
 
 static void
-fail_call (struct http_call *call, enum http_result result, const char *cause)
+report_unbounded (struct connection *c, const char *cause, size_t bytes)
 {
-  struct http_response response = { .result = result, .cause = cause };
-  end_call (call, &response);
+  struct http_client *client = c->client;
+  if (client->on_unbounded != NULL)
+    client->on_unbounded (client->unbounded_arg, cause, bytes);
 }
 
 static void
@@ -118,15 +128,26 @@
 {
   struct http_call *call = c->call;
   struct http_client *client = c->client;
+  struct http_response response
+      = { .result = result, .cause = cause, .unbounded = c->bound != NULL };
   c->call = NULL;
+  if (c->bound != NULL)
+    report_unbounded (c, c->bound, c->received);
   close_connection (c);
   if (call != NULL)
-    fail_call (call, result, cause);
+    end_call (call, &response);
   start_queued_calls (client);
 }
 
 /* Parsing.  */
 
+static int
+exceed (struct connection *c, const char *bound)
+{
+  c->bound = bound;
+  return -1;
+}
+
 static int
 on_begin (http_parser *p)
 {
@@ -143,7 +164,10 @@
 static int
 on_field (http_parser *p, const char *at, size_t length)
 {
-  headers_append_name (((struct connection *)p->data)->headers, at, length);
+  struct connection *c = p->data;
+  headers_append_name (c->headers, at, length);
+  if (headers_field_count (c->headers) > HTTP_FIELDS_MAX)
+    return exceed (c, "fields");
   return 0;
 }
 
@@ -172,9 +196,22 @@
 on_body (http_parser *p, const char *at, size_t length)
 {
   struct connection *c = p->data;
-  if (c->body->len + length > BODY_MAX_BYTES)
-    return 1;
-  g_string_append_len (c->body, at, (gssize)length);
+  size_t *total = c->skip_message ? &c->skipped_body : &c->body->len;
+  c->body_received += length;
+  if (length
+      > c->client->body_bytes_max - MIN (*total, c->client->body_bytes_max))
+    return exceed (c, "body");
+  if (c->skip_message)
+    c->skipped_body += length;
+  else
+    g_string_append_len (c->body, at, (gssize)length);
+  return 0;
+}
+
+static int
+on_chunk (http_parser *p)
+{
+  ((struct connection *)p->data)->chunk_count++;
   return 0;
 }
 
@@ -196,6 +233,7 @@
   .on_headers_complete = on_headers,
   .on_body = on_body,
   .on_message_complete = on_complete,
+  .on_chunk_header = on_chunk,
 };
 
 static uint32_t
@@ -280,6 +318,42 @@
     fail_connection (c, HTTP_FAILED, "closed");
 }
 
+/* Whether the bytes of the call's messages, skipped ones included, that are no
+   bodies exceed the bound of a head.  */
+static bool
+head_too_large (const struct connection *c)
+{
+  return HTTP_PARSER_ERRNO (&c->parser) == HPE_HEADER_OVERFLOW
+         || c->received - c->body_received
+                > HTTP_HEAD_BYTES_MAX
+                      + (size_t)c->chunk_count * HTTP_CHUNK_FRAME_BYTES;
+}
+
+static void
+parse (struct connection *c, const char *data, size_t length)
+{
+  c->received += length;
+  /* The limit is one variable of the parser's library, which the server sets
+     as well.  */
+  http_parser_set_max_header_size (HTTP_HEAD_BYTES_MAX);
+  size_t parsed = http_parser_execute (&c->parser, &callbacks, data, length);
+  bool valid = HTTP_PARSER_ERRNO (&c->parser) == HPE_OK && parsed == length
+               && !c->parser.upgrade;
+  if (c->response_complete)
+    {
+      if (!valid)
+        report_unbounded (c, "excess", c->received);
+      handle_response (c, valid);
+      return;
+    }
+  if (c->bound == NULL && head_too_large (c))
+    c->bound = "head";
+  if (c->bound != NULL)
+    fail_connection (c, HTTP_FAILED, c->bound);
+  else if (!valid)
+    fail_connection (c, HTTP_FAILED, "malformed");
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -299,17 +373,11 @@
   if (c->call == NULL)
     {
       /* Data without a call that waits for it.  */
+      report_unbounded (c, "excess", (size_t)length);
       close_connection (c);
       return;
     }
-  size_t parsed = http_parser_execute (&c->parser, &callbacks, buffer->base,
-                                       (size_t)length);
-  bool valid = HTTP_PARSER_ERRNO (&c->parser) == HPE_OK
-               && parsed == (size_t)length && !c->parser.upgrade;
-  if (c->response_complete)
-    handle_response (c, valid);
-  else if (!valid)
-    fail_connection (c, HTTP_FAILED, "malformed");
+  parse (c, buffer->base, (size_t)length);
 }
 
 /* Calls.  */
@@ -318,6 +386,8 @@
 on_call_timer (uv_timer_t *timer)
 {
   struct connection *c = timer->data;
+  if (c->connected && c->received > 0)
+    c->bound = "time";
   fail_connection (c, c->connected ? HTTP_TIMED_OUT : HTTP_NOT_SENT,
                    "timeout");
 }
@@ -329,6 +399,10 @@
   GString *message = call->message;
   call->message = NULL;
   c->response_complete = false;
+  c->received = 0;
+  c->body_received = 0;
+  c->skipped_body = 0;
+  c->chunk_count = 0;
   http_parser_init (&c->parser, HTTP_RESPONSE);
   c->parser.data = c;
   uv_timer_start (&c->timer, on_call_timer, call->options.timeout_ms, 0);
@@ -419,10 +493,25 @@
   struct http_client *client = g_new0 (struct http_client, 1);
   client->loop = loop;
   client->connections_max = connections_max;
+  client->body_bytes_max = BODY_BYTES_MAX_INITIAL;
   settings_address_to_sockaddr (address, &client->address);
   return client;
 }
 
+void
+http_client_set_body_max (struct http_client *client, uint32_t bytes)
+{
+  client->body_bytes_max = bytes;
+}
+
+void
+http_client_on_unbounded (struct http_client *client, http_unbounded_fn *fn,
+                          void *arg)
+{
+  client->on_unbounded = fn;
+  client->unbounded_arg = arg;
+}
+
 struct http_call *
 http_call (struct http_client *client, GString *message,
            const struct http_call_options *options)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,8 +21,8 @@
 {
   HTTP_COMPLETED, /* the complete response was received */
   HTTP_NOT_SENT,  /* no connection: no byte of the request was sent */
-  HTTP_FAILED,    /* sent, but the response is missing, truncated or
-                     malformed */
+  HTTP_FAILED,    /* sent, but the response is missing, truncated, malformed
+                     or beyond its bounds */
   HTTP_TIMED_OUT  /* sent, but no complete response within the time-out */
 };
 
@@ -30,6 +30,8 @@
 {
   enum http_result result;
   const char *cause; /* of a failure, in one word; NULL if HTTP_COMPLETED */
+  bool unbounded;    /* it failed at a bound of its head, body or time, and
+                        more bytes were about to follow */
   int status;
   const struct headers *headers; /* valid only during the callback, as BODY */
   const char *body;
@@ -58,6 +60,16 @@
                                      const struct settings_address *address,
                                      uint32_t connections_max);
 
+/* Limit the bodies of responses to BYTES from now on; initially 64 MiB.  Heads
+   have the bounds of http/bounds.h.  */
+void http_client_set_body_max (struct http_client *client, uint32_t bytes);
+
+/* Called when a connection is closed at a bound, after BYTES of the response
+   or after bytes that belong to no call.  CAUSE is one word.  */
+typedef void http_unbounded_fn (void *arg, const char *cause, size_t bytes);
+void http_client_on_unbounded (struct http_client *client,
+                               http_unbounded_fn *fn, void *arg);
+
 /* Send MESSAGE, a complete request, and take ownership of it.  The call waits
    in a queue while all connections are in use.  DONE is called once, never
    from within this function, unless the call is cancelled.  */
--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -99,6 +99,12 @@
   return NULL;
 }
 
+unsigned
+headers_field_count (const struct headers *h)
+{
+  return h->fields->len;
+}
+
 unsigned
 headers_count (const struct headers *h, const char *name)
 {
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -24,6 +24,9 @@
 /* The value of the first field NAME (case-insensitive), or NULL.  */
 const char *headers_find (const struct headers *h, const char *name);
 
+/* The number of all fields.  */
+unsigned headers_field_count (const struct headers *h);
+
 /* The number of fields NAME (case-insensitive).  */
 unsigned headers_count (const struct headers *h, const char *name);
 
--- a/src/http/net.c
+++ b/src/http/net.c
@@ -22,6 +22,7 @@
 {
   uv_write_t request;
   GString *data;
+  net_written_fn *written; /* may be NULL */
 };
 
 static void
@@ -29,12 +30,22 @@
 {
   struct pending_write *w = (struct pending_write *)request;
   (void)status; /* the read callback sees the end of the stream */
+  uv_stream_t *stream = request->handle;
+  net_written_fn *written = w->written;
   g_string_free (w->data, TRUE);
   free (w);
+  if (written != NULL)
+    written (stream);
 }
 
 bool
 net_send (uv_stream_t *stream, GString *data)
+{
+  return net_send_notify (stream, data, NULL);
+}
+
+bool
+net_send_notify (uv_stream_t *stream, GString *data, net_written_fn *written)
 {
   uv_buf_t buffer = uv_buf_init (data->str, (unsigned)data->len);
   int sent = uv_try_write (stream, &buffer, 1);
@@ -52,6 +63,7 @@
     g_string_erase (data, 0, sent);
   struct pending_write *w = g_new0 (struct pending_write, 1);
   w->data = data;
+  w->written = written;
   buffer = uv_buf_init (data->str, (unsigned)data->len);
   if (uv_write (&w->request, stream, &buffer, 1, on_written) == 0)
     return true;
--- a/src/http/net.h
+++ b/src/http/net.h
@@ -13,6 +13,12 @@
    of the stream then sees its end as well.  */
 bool net_send (uv_stream_t *stream, GString *data);
 
+/* The same; WRITTEN, if not NULL, is called with STREAM when the loop has
+   written what the kernel did not accept at once, or STREAM is closed.  */
+typedef void net_written_fn (uv_stream_t *stream);
+bool net_send_notify (uv_stream_t *stream, GString *data,
+                      net_written_fn *written);
+
 /* The number of bytes that the loop has yet to write.  */
 size_t net_pending_bytes (const uv_stream_t *stream);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "http/bounds.h"
 #include "http/net.h"
 #include "http/reason_phrase.h"
 #include <http_parser.h>
@@ -9,7 +10,9 @@
 {
   /* Requests of one connection in progress at which reading is paused.  */
   PIPELINE_MAX = 64,
-  HEADERS_MAX = 200, /* header fields of one request */
+  /* Bytes of responses that the caller has not read at which reading is
+     paused: what the kernel's buffers of a connection hold.  */
+  UNREAD_BYTES_MAX = 256 * 1024,
   /* How long a caller may take to close the connection after the last
      response.  */
   LINGER_TIMEOUT_MS = 1000
@@ -37,6 +40,7 @@
   GList server_link;
   GQueue requests;          /* complete requests, in order of arrival */
   struct request *incoming; /* the request being read, or NULL */
+  GByteArray *unparsed;     /* read and not parsed while reading is paused */
   unsigned open_handles;    /* libuv handles not yet closed */
   int error_status; /* HTTP status of the error that ended parsing, or 0 */
   bool reading_paused;
@@ -49,7 +53,9 @@
   struct http_server_exchange exchange;
   struct connection *connection;
   GString *response; /* NULL until the handler responds */
-  unsigned field_count;
+  /* Bytes of the request after those that were read with its first.  */
+  size_t received;
+  uint32_t chunk_count;
   bool complete;
   bool keep_alive;
   bool head_only;
@@ -116,9 +122,10 @@
 static int
 on_field (http_parser *p, const char *at, size_t length)
 {
-  headers_append_name (parser_connection (p)->incoming->exchange.headers, at,
-                       length);
-  return 0;
+  struct connection *c = parser_connection (p);
+  struct headers *h = c->incoming->exchange.headers;
+  headers_append_name (h, at, length);
+  return headers_field_count (h) > HTTP_FIELDS_MAX ? reject (c, 431) : 0;
 }
 
 static int
@@ -165,6 +172,13 @@
   return 0;
 }
 
+static int
+on_chunk (http_parser *p)
+{
+  parser_connection (p)->incoming->chunk_count++;
+  return 0;
+}
+
 static int
 on_complete (http_parser *p)
 {
@@ -178,6 +192,8 @@
   c->incoming = NULL;
   if (!r->keep_alive)
     c->closing = true;
+  else if (g_queue_get_length (&c->requests) >= PIPELINE_MAX)
+    http_parser_pause (p, 1);
   /* The handler is called after the parser has returned, because it may close
      the connection.  */
   return 0;
@@ -191,6 +207,7 @@
   .on_headers_complete = on_headers,
   .on_body = on_body,
   .on_message_complete = on_complete,
+  .on_chunk_header = on_chunk,
 };
 
 /* Responses.  */
@@ -261,6 +278,12 @@
 
 static void resume_reading (struct connection *c);
 
+static void
+on_written (uv_stream_t *stream)
+{
+  resume_reading (stream->data);
+}
+
 /* Send the available responses that are next in order.  */
 static void
 flush_responses (struct connection *c)
@@ -274,7 +297,7 @@
       GString *out = r->response;
       r->response = NULL;
       request_free (r);
-      net_send ((uv_stream_t *)&c->tcp, out);
+      net_send_notify ((uv_stream_t *)&c->tcp, out, on_written);
       if (last_response)
         {
           shutdown_connection (c);
@@ -308,8 +331,10 @@
 on_handle_closed (uv_handle_t *handle)
 {
   struct connection *c = handle->data;
-  if (--c->open_handles == 0)
-    g_free (c);
+  if (--c->open_handles > 0)
+    return;
+  g_byte_array_free (c->unparsed, TRUE);
+  g_free (c);
 }
 
 static void
@@ -407,13 +432,52 @@
   return error == HPE_HEADER_OVERFLOW ? 431 : 400;
 }
 
+static uint32_t
+head_bytes_max (const struct connection *c)
+{
+  return MIN (c->server->limits->header_bytes_max,
+              (uint32_t)HTTP_HEAD_BYTES_MAX);
+}
+
+/* Reject the request that is being read, and was before LENGTH bytes, if its
+   bytes other than the body exceed the bound of a head.  The parser bounds its
+   head and each chunk extension, but not their sum.  */
+static void
+check_head (struct connection *c, size_t length)
+{
+  struct request *r = c->incoming;
+  r->received += length;
+  if (r->received > head_bytes_max (c) + r->exchange.body->len
+                        + (size_t)r->chunk_count * HTTP_CHUNK_FRAME_BYTES)
+    reject (c, 431);
+}
+
+/* Pause reading; parse the LENGTH bytes of DATA when it is resumed.  */
+static void
+pause_reading (struct connection *c, const char *data, size_t length)
+{
+  g_byte_array_append (c->unparsed, (const guint8 *)data, (guint)length);
+  c->reading_paused = true;
+  uv_read_stop ((uv_stream_t *)&c->tcp);
+}
+
 static void
 parse (struct connection *c, const char *data, size_t length)
 {
-  bool had_incoming = c->incoming != NULL;
-  http_parser_set_max_header_size (c->server->limits->header_bytes_max);
+  const struct request *before = c->incoming;
+  bool had_incoming = before != NULL;
+  http_parser_set_max_header_size (head_bytes_max (c));
   size_t parsed = http_parser_execute (&c->parser, &callbacks, data, length);
-  if ((parsed != length || HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+  if (HTTP_PARSER_ERRNO (&c->parser) == HPE_PAUSED)
+    {
+      http_parser_pause (&c->parser, 0);
+      pause_reading (c, data + parsed, length - parsed);
+      parsed = length;
+    }
+  if (had_incoming && c->incoming == before)
+    check_head (c, length);
+  if ((parsed != length || HTTP_PARSER_ERRNO (&c->parser) != HPE_OK
+       || c->error_status != 0)
       && !c->closing)
     {
       c->error_status = status_of_parse_error (c);
@@ -442,21 +506,25 @@
     return;
   parse (c, buffer->base, (size_t)length);
   if (!c->closed && !c->reading_paused
-      && g_queue_get_length (&c->requests) >= PIPELINE_MAX)
-    {
-      c->reading_paused = true;
-      uv_read_stop (stream);
-    }
+      && net_pending_bytes (stream) > UNREAD_BYTES_MAX)
+    pause_reading (c, NULL, 0);
 }
 
 static void
 resume_reading (struct connection *c)
 {
-  if (!c->reading_paused
-      || g_queue_get_length (&c->requests) > PIPELINE_MAX / 2)
+  if (c->closed || !c->reading_paused
+      || g_queue_get_length (&c->requests) > PIPELINE_MAX / 2
+      || net_pending_bytes ((uv_stream_t *)&c->tcp) > UNREAD_BYTES_MAX)
     return;
   c->reading_paused = false;
   uv_read_start ((uv_stream_t *)&c->tcp, net_alloc_buffer, on_read);
+  if (c->unparsed->len == 0 || c->closing)
+    return;
+  GByteArray *data = c->unparsed;
+  c->unparsed = g_byte_array_new ();
+  parse (c, (const char *)data->data, data->len);
+  g_byte_array_free (data, TRUE);
 }
 
 static void
@@ -469,6 +537,7 @@
   c->server = s;
   c->server_link.data = c;
   c->open_handles = 2;
+  c->unparsed = g_byte_array_new ();
   uv_tcp_init (s->loop, &c->tcp);
   uv_timer_init (s->loop, &c->timer);
   c->tcp.data = c;
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <cmocka.h>
 #include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,6 +27,9 @@
   EXCHANGES_MAX = 32,
   CALLS_MAX = 16,
   CLOSE_RUNS_MAX = 100,
+  STALLED_RUNS_MAX = 200,
+  ENDLESS_CALLS = 100,
+  ENDLESS_BODY_BYTES = 100000,
   LOOP_RUN_MS = 60, /* enough for all traffic on loopback to arrive */
   FD_NONE = -1
 };
@@ -101,6 +105,30 @@
   close (fd);
 }
 
+/* Send the text of word 1 and then COUNT times that of word 2, until the other
+   side closes the connection FD or reads no more for a while.  */
+static void
+flood (uv_loop_t *loop, int fd, char **words)
+{
+  GString *bytes = g_string_new (NULL);
+  int stalled = 0;
+  unescape (words[1], bytes);
+  for (int i = 0; i < script_word_number (words[3]); i++)
+    unescape (words[2], bytes);
+  for (size_t sent = 0; sent < bytes->len && stalled < STALLED_RUNS_MAX;)
+    {
+      ssize_t n = send (fd, bytes->str + sent, bytes->len - sent,
+                        MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n < 0 && errno != EAGAIN)
+        break;
+      stalled = n > 0 ? 0 : stalled + 1;
+      sent += n > 0 ? (size_t)n : 0;
+      uv_run (loop, UV_RUN_NOWAIT);
+      usleep (n > 0 ? 0 : 1000);
+    }
+  g_string_free (bytes, TRUE);
+}
+
 /* The server.  */
 
 struct server_test
@@ -111,6 +139,7 @@
   struct settings_address address;
   struct http_server_exchange *exchanges[EXCHANGES_MAX];
   int request_count;
+  GPtrArray *held; /* requests of a pipeline; NULL: requests are printed */
   FILE *out;
   int fd;
 };
@@ -132,6 +161,11 @@
 {
   struct server_test *test = arg;
   int number = ++test->request_count;
+  if (test->held != NULL)
+    {
+      g_ptr_array_add (test->held, exchange);
+      return;
+    }
   test->exchanges[number] = exchange;
   exchange->user_data = test;
   exchange->on_disconnect = record_disconnect;
@@ -150,6 +184,38 @@
     fprintf (test->out, "closed\n");
 }
 
+/* Send COUNT requests at once and answer with BODY_BYTES each all that have
+   arrived, until no more arrive.  */
+static void
+run_pipeline (struct server_test *test, int count, int body_bytes)
+{
+  char *words[] = { "", "GET_/_HTTP/1.1|Host:_x||", "GET_/_HTTP/1.1|Host:_x||",
+                    g_strdup_printf ("%d", count - 1) };
+  char *body = g_strnfill ((gsize)body_bytes, 'x');
+  guint held_max = 0;
+  test->held = g_ptr_array_new ();
+  flood (&test->loop, test->fd, words);
+  for (run_loop (&test->loop); test->held->len > 0; run_loop (&test->loop))
+    {
+      GPtrArray *held = test->held;
+      test->held = g_ptr_array_new ();
+      held_max = MAX (held_max, held->len);
+      for (guint i = 0; i < held->len; i++)
+        http_respond (g_ptr_array_index (held, i), 200, NULL, body,
+                      (size_t)body_bytes);
+      g_ptr_array_free (held, TRUE);
+    }
+  fprintf (test->out, "at most %u at once, all %d: %s\n", held_max, count,
+           test->request_count == count ? "yes" : "no");
+  close (test->fd);
+  test->fd = FD_NONE;
+  run_loop (&test->loop);
+  g_ptr_array_free (test->held, TRUE);
+  test->held = NULL;
+  g_free (body);
+  g_free (words[3]);
+}
+
 static void
 connect_caller (struct server_test *test)
 {
@@ -186,6 +252,13 @@
                     NULL, body, strlen (body));
       test->exchanges[number] = NULL;
     }
+  else if (strcmp (words[0], "flood") == 0)
+    flood (&test->loop, test->fd, words);
+  else if (strcmp (words[0], "limit-head") == 0)
+    test->limits.header_bytes_max = (uint32_t)script_word_number (words[1]);
+  else if (strcmp (words[0], "pipeline") == 0)
+    run_pipeline (test, script_word_number (words[1]),
+                  script_word_number (words[2]));
   else if (strcmp (words[0], "drain") == 0)
     http_server_drain (test->server);
   else if (strcmp (words[0], "sleep") == 0)
@@ -261,6 +334,14 @@
   free (call);
 }
 
+static void
+print_unbounded (void *arg, const char *cause, size_t bytes)
+{
+  struct client_test *test = arg;
+  (void)bytes;
+  fprintf (test->out, "unbounded %s\n", cause);
+}
+
 static bool
 has_own_id (void *arg, const struct headers *headers)
 {
@@ -343,6 +424,8 @@
                (uint32_t)script_number (count, words, "timeout", 5000));
   else if (strcmp (words[0], "respond") == 0)
     send_response (test, words[1]);
+  else if (strcmp (words[0], "flood") == 0)
+    flood (&test->loop, test->fd, words);
   else if (strcmp (words[0], "respond-and-reset") == 0)
     {
       send_response (test, words[1]);
@@ -379,6 +462,8 @@
                     0);
   listen (test.listener, 8);
   test.client = http_client_new (&test.loop, &address, 1);
+  http_client_set_body_max (test.client, ENDLESS_BODY_BYTES);
+  http_client_on_unbounded (test.client, print_unbounded, &test);
   assert_int_equal (
       script_run ("test/http/client.txt", run_client_command, &test), 0);
   test.out = stderr;
@@ -388,12 +473,65 @@
   g_free (test.client);
 }
 
+static void
+count_failure (void *arg, const struct http_response *response)
+{
+  int *failed = arg;
+  *failed += response->result == HTTP_FAILED && response->unbounded;
+}
+
+/* Bodies without end from many targets at once are cut off: a target that goes
+   on sending must find its connection closed.  */
+static void
+endless_responses_end (void **state)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+  static char body[ENDLESS_BODY_BYTES];
+  uv_loop_t loop;
+  struct settings_address address = { "127.0.0.1", free_port () };
+  struct sockaddr_in at = loopback (address.port);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int fds[ENDLESS_CALLS];
+  int failed = 0;
+  (void)state;
+  uv_loop_init (&loop);
+  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
+  listen (listener, ENDLESS_CALLS);
+  struct http_client *client
+      = http_client_new (&loop, &address, ENDLESS_CALLS);
+  struct http_call_options options
+      = { .done = count_failure, .arg = &failed, .timeout_ms = 5000 };
+  http_client_set_body_max (client, ENDLESS_BODY_BYTES);
+  for (int i = 0; i < ENDLESS_CALLS; i++)
+    http_call (client, g_string_new ("GET / HTTP/1.1\r\n\r\n"), &options);
+  run_loop (&loop);
+  for (int i = 0; i < ENDLESS_CALLS; i++)
+    {
+      fds[i] = accept (listener, NULL, NULL);
+      send (fds[i], head, strlen (head), 0);
+    }
+  for (int round = 0; round < 10; round++, run_loop (&loop))
+    for (int i = 0; i < ENDLESS_CALLS; i++)
+      send (fds[i], body, sizeof body, MSG_NOSIGNAL | MSG_DONTWAIT);
+  assert_int_equal (failed, ENDLESS_CALLS);
+  for (int i = 0; i < ENDLESS_CALLS; i++)
+    {
+      assert_true (send (fds[i], body, 1, MSG_NOSIGNAL) < 0);
+      close (fds[i]);
+    }
+  close (listener);
+  close_loop (&loop);
+  g_free (client);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (server_follows_script),
     cmocka_unit_test (client_follows_script),
+    cmocka_unit_test (endless_responses_end),
   };
+  signal (SIGPIPE, SIG_IGN); /* as the node does */
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
