--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -27,6 +27,8 @@
 #define CLOSED_RETRY_AFTER_NS (300 * NS_PER_MS)
 /* Interval of the log lines that tell how a target's limit is used.  */
 #define USAGE_INTERVAL_NS (1 * NS_PER_S)
+/* Interval of the log lines on responses that exceed their bounds.  */
+#define UNBOUNDED_INTERVAL_NS (1 * NS_PER_S)
 
 struct egress
 {
@@ -47,6 +49,7 @@
   uint32_t usage_sent;
   uint32_t usage_from_peers;
   uint32_t job_count;
+  int64_t unbounded_logged_ns; /* 0: never */
 };
 
 struct egress_job
@@ -289,6 +292,8 @@
 {
   if (response->result == HTTP_TIMED_OUT)
     return attempt_unknown (REASON_DEADLINE);
+  if (response->unbounded)
+    return attempt_unknown (REASON_ANSWER_TOO_LARGE);
   if (response->result == HTTP_FAILED)
     return attempt_unknown (REASON_TARGET_CLOSED);
   if (strcmp (response->cause, "refused") == 0)
@@ -472,6 +477,20 @@
   arm_queue_timer (g, now_ns);
 }
 
+static void
+on_unbounded (void *arg, const char *cause, size_t bytes)
+{
+  struct egress *g = arg;
+  int64_t now_ns = clock_now_ns ();
+  counter_add (COUNTER_answers_unbounded_total, 1);
+  if (g->unbounded_logged_ns != 0
+      && now_ns - g->unbounded_logged_ns < UNBOUNDED_INTERVAL_NS)
+    return;
+  g->unbounded_logged_ns = now_ns;
+  log_event (EV_ANSWER_UNBOUNDED, "target=%s bound=%s bytes=%zu running=%u",
+             g->view.id, cause, bytes, lineup_running (g->lineup));
+}
+
 struct egress *
 egress_open (uv_loop_t *loop, const struct dialect *dialect,
              const struct settings *settings, const struct egress_hooks *hooks)
@@ -483,6 +502,7 @@
   g->shutdown_ns = INT64_MAX;
   g->client = http_client_new (loop, &settings->target,
                                settings->target_slots + SPARE_CONNECTIONS);
+  http_client_on_unbounded (g->client, on_unbounded, g);
   g->lineup = lineup_new (settings->target_slots);
   g_queue_init (&g->refused_jobs);
   uv_timer_init (loop, &g->queue_timer);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/log.h"
+#include "http/client.h"
 #include "http/server.h"
 #include "mesh/balance.h"
 #include "mesh/directory.h"
@@ -346,6 +347,8 @@
              r->version, old == NULL ? 0 : old->version, r->entries->len,
              from);
   m->limits = r->limits;
+  http_client_set_body_max (egress_http_client (m->egress),
+                            r->limits.body_bytes_max);
   router_set_routes (m->router, r);
   routes_unref (r);
   if (m->target.phase == TARGET_SERVING)
