Bound the heads that libcurl reads

The header callbacks of the target's exchange and of the store's transfers counted nothing; libcurl bounds only single lines and, in patched versions, a head of 300 kB. Both now fail beyond 64 kB, the target's also beyond 200 fields, with the results that a body beyond its bound has. Bodies were bounded before; a chunk extension is bounded only by the time-out.

--- a/src/route/http_exchange.c
+++ b/src/route/http_exchange.c
@@ -1,5 +1,6 @@
 #include "route/http_exchange.h"
 #include "base/clock.h"
+#include "http/bounds.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -12,7 +13,8 @@
 {
   URL_BYTES = REQUEST_PATH_BYTES + 128,
   HEADER_BYTES = 256,
-  BODY_INITIAL_BYTES = 1024
+  BODY_INITIAL_BYTES = 1024,
+  HEAD_LINES = 2 /* of a head that are no fields: the first and the last */
 };
 
 struct http_pool
@@ -78,6 +80,15 @@
   struct http_exchange *e = arg;
   size_t length = size * count;
   char not_run_value[8];
+  /* Trailers and the heads of interim responses count as well.  */
+  e->head_length += length;
+  e->line_count++;
+  if (e->head_length > HTTP_HEAD_BYTES_MAX
+      || e->line_count > HTTP_FIELDS_MAX + HEAD_LINES)
+    {
+      e->answer_too_large = true;
+      return 0;
+    }
   read_header (data, length, "Content-Type", e->content_type,
                sizeof e->content_type);
   if (read_header (data, length, "Crocusbend-Not-Run", not_run_value,
--- a/src/route/http_exchange.h
+++ b/src/route/http_exchange.h
@@ -37,14 +37,16 @@
   char *body; /* owned until the caller takes it */
   size_t body_length;
   size_t body_capacity;
+  size_t head_length;
+  unsigned line_count; /* lines of the head and trailers */
   char content_type[REQUEST_CONTENT_TYPE_BYTES];
   unsigned send_count; /* how often a send was allowed to start */
   bool not_run;        /* the target reported that the request did not run */
   bool lease_lapsed;   /* the send was prevented because the lease had expired,
                           or this node had joined again since the begin */
   bool resend_stopped; /* a second send was prevented */
-  bool answer_too_large; /* the answer exceeded limits.body_bytes and was cut
-                            off */
+  bool answer_too_large; /* the answer exceeded limits.body_bytes, or its head
+                            the bounds of http/bounds.h, and was cut off */
 };
 
 /* Prepare E->easy for curl_multi_add_handle, with a handle of POOL; the
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -58,6 +58,7 @@
   struct send_list waiting;
   struct send_list active;
   bool unreachable;
+  int64_t unbounded_logged_ns; /* 0: never */
   pthread_t thread;
   uint32_t cancel_pending; /* set by target_check_cancels */
   uint32_t stopping;
@@ -242,6 +243,24 @@
   end_send (s, OUTCOME_NOT_RUN, reason);
 }
 
+/* Count the response of S, which exceeded its bounds, and log at most one a
+   second.  */
+static void
+record_unbounded (const struct send *s)
+{
+  struct target *t = s->target;
+  int64_t now_ns = clock_now_ns ();
+  counter_add (COUNTER_answers_unbounded_total, 1);
+  if (t->unbounded_logged_ns != 0
+      && now_ns - t->unbounded_logged_ns < NS_PER_S)
+    return;
+  t->unbounded_logged_ns = now_ns;
+  log_event (EV_ANSWER_UNBOUNDED,
+             "request=%016" PRIx64 " head_bytes=%zu body_bytes=%zu",
+             s->attempt->request->id, s->http.head_length,
+             s->http.body_length);
+}
+
 static void
 report_unknown (struct send *s, CURLcode code)
 {
@@ -253,7 +272,10 @@
                  s->attempt->request->id);
     }
   if (s->http.answer_too_large)
-    reason = REASON_ANSWER_TOO_LARGE;
+    {
+      record_unbounded (s);
+      reason = REASON_ANSWER_TOO_LARGE;
+    }
   else if (code == CURLE_OPERATION_TIMEDOUT)
     reason = REASON_DEADLINE;
   end_send (s, OUTCOME_UNKNOWN, reason);
--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -237,7 +237,7 @@
 call (struct etcd *e, enum transfer_kind kind, const char *path, GString *body,
       json_t **response)
 {
-  struct transfer t = { kind, 0, g_string_new (NULL), REPLY_BYTES_MAX };
+  struct transfer t = { kind, 0, g_string_new (NULL), REPLY_BYTES_MAX, 0 };
   int64_t start_ns = clock_now_ns ();
   int64_t end_ns = start_ns + e->timeout_ms * NS_PER_MS;
   enum status status = wait_for_endpoint (e, start_ns);
@@ -585,7 +585,7 @@
   struct etcd *e = (struct etcd *)st;
   GString *body = g_string_new ("{\"create_request\":{");
   struct watch w
-      = { { TRANSFER_WATCH, 0, g_string_new (NULL), WATCH_LINE_BYTES_MAX },
+      = { { TRANSFER_WATCH, 0, g_string_new (NULL), WATCH_LINE_BYTES_MAX, 0 },
           .fn = fn,
           .arg = arg };
   append_prefix_range (body, prefix);
--- a/src/store/transfer.c
+++ b/src/store/transfer.c
@@ -1,6 +1,7 @@
 #include "store/transfer.h"
 
 #include "base/counter.h"
+#include "http/bounds.h"
 
 static void
 count_send (enum transfer_kind kind)
@@ -41,6 +42,17 @@
   return n;
 }
 
+/* Called by libcurl for each line of the head and for trailers.  */
+static size_t
+count_head (char *data, size_t size, size_t count, void *arg)
+{
+  struct transfer *t = arg;
+  size_t n = size * count;
+  (void)data;
+  t->head_length += n;
+  return t->head_length > HTTP_HEAD_BYTES_MAX ? 0 : n;
+}
+
 void
 transfer_set_options (CURL *handle)
 {
@@ -48,6 +60,7 @@
   curl_easy_setopt (handle, CURLOPT_PROXY, "");
   curl_easy_setopt (handle, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (handle, CURLOPT_WRITEFUNCTION, append_response);
+  curl_easy_setopt (handle, CURLOPT_HEADERFUNCTION, count_head);
   curl_easy_setopt (handle, CURLOPT_PREREQFUNCTION, on_connected);
 }
 
@@ -55,8 +68,10 @@
 transfer_begin (CURL *handle, struct transfer *t)
 {
   curl_easy_setopt (handle, CURLOPT_WRITEDATA, t);
+  curl_easy_setopt (handle, CURLOPT_HEADERDATA, t);
   curl_easy_setopt (handle, CURLOPT_PREREQDATA, t);
   t->sends = 0;
+  t->head_length = 0;
   g_string_truncate (t->response, 0);
 }
 
--- a/src/store/transfer.h
+++ b/src/store/transfer.h
@@ -24,6 +24,7 @@
                      counted in the process counter of KIND */
   GString *response;
   size_t response_max_bytes; /* a longer response fails the transfer */
+  size_t head_length;        /* a head beyond http/bounds.h fails it as well */
 };
 
 /* Set the options that are common to all transfers of HANDLE.  */
