Let operators evacuate and restore zones

The configuration had no way to take a zone out of service. It now holds a set of at most 64 evacuated zones, in its JSON form only while there are any, and in the record's entries of the two new commands. A command can carry a condition on the configuration that it would make, which is checked again after a lost race. Commands on the same zone conflict.

--- a/src/ask/config.c
+++ b/src/ask/config.c
@@ -139,6 +139,62 @@
   return STATUS_OK;
 }
 
+/* The last entry of the audit that evacuated ZONE, or NULL.  */
+static const struct conf_audit_entry *
+find_evacuation (const struct conf *c, const char *zone)
+{
+  const struct conf_audit_entry *found = NULL;
+  const struct conf_audit_entry *entry;
+  for (size_t i = 0; (entry = conf_audit_at (c, i)) != NULL; i++)
+    if (entry->action == CONF_EVACUATE_ZONE && strcmp (entry->zone, zone) == 0)
+      found = entry;
+  return found;
+}
+
+static void
+add_zone_row (struct ask_answer *a, const struct conf *c, const char *zone)
+{
+  char timestamp[TIMESTAMP_BYTES];
+  bool evacuated = conf_zone_is_evacuated (c, zone);
+  const struct conf_audit_entry *entry
+      = evacuated ? find_evacuation (c, zone) : NULL;
+  ask_answer_text (a, zone);
+  ask_answer_text (a, evacuated ? "evacuated" : "in service");
+  if (entry == NULL)
+    {
+      ask_answer_null (a);
+      ask_answer_null (a);
+    }
+  else
+    {
+      format_timestamp (entry->wall_ms, timestamp);
+      ask_answer_text (a, timestamp);
+      ask_answer_text (a, entry->who);
+    }
+  if (entry == NULL || entry->why[0] == '\0')
+    ask_answer_null (a);
+  else
+    ask_answer_text (a, entry->why);
+}
+
+enum status
+ask_answer_zones (struct ask_answer *a, const struct conf *c,
+                  const char *const *zones)
+{
+  const struct conf_zone *z;
+  ask_answer_column (a, "zone", ASK_TEXT);
+  ask_answer_column (a, "state", ASK_TEXT);
+  ask_answer_column (a, "since", ASK_TEXT);
+  ask_answer_column (a, "who", ASK_TEXT);
+  ask_answer_column (a, "why", ASK_TEXT);
+  for (size_t i = 0; zones[i] != NULL; i++)
+    if (!conf_zone_is_evacuated (c, zones[i]))
+      add_zone_row (a, c, zones[i]);
+  for (size_t i = 0; (z = conf_evacuated_zone_at (c, i)) != NULL; i++)
+    add_zone_row (a, c, z->name);
+  return STATUS_OK;
+}
+
 enum status
 ask_answer_history (struct ask_answer *a, const struct conf *c)
 {
--- a/src/ask/config.h
+++ b/src/ask/config.h
@@ -16,6 +16,11 @@
                                       const struct conf *c);
 enum status ask_answer_history (struct ask_answer *a, const struct conf *c);
 
+/* Fill A with the answer to the query `zones`: ZONES, NULL-terminated and
+   sorted, and those that are evacuated.  */
+enum status ask_answer_zones (struct ask_answer *a, const struct conf *c,
+                              const char *const *zones);
+
 /* Fill A with the answer to a configuration command that changes BEFORE to
    AFTER: the differences and the new revision.  With DRY_RUN the note says
    that the command would make this revision.  */
--- a/src/ask/parse.c
+++ b/src/ask/parse.c
@@ -93,6 +93,12 @@
   return copy_name (q->node, token);
 }
 
+static bool
+read_zone (struct ask_query *q, const struct ask_token *token)
+{
+  return copy_name (q->zone, token);
+}
+
 static bool
 read_kind (struct ask_query *q, const struct ask_token *token)
 {
@@ -250,6 +256,8 @@
   if (is_word (&m->tokens[m->pos], word))
     {
       m->pos++;
+      /* No other group of a pattern begins with this word.  */
+      m->q.forced |= strcmp (word, "even") == 0;
       return true;
     }
   snprintf (expected, sizeof expected, "'%s'", word);
--- a/src/ask/query.h
+++ b/src/ask/query.h
@@ -52,6 +52,8 @@
   char service[CONF_NAME_BYTES];
   char organisation[CONF_NAME_BYTES];
   char node[CONF_NAME_BYTES];
+  char zone[CONF_NAME_BYTES];
+  bool forced; /* `even without targets` */
   enum conf_kind organisation_kind;
   enum conf_limit limit;
   uint32_t value;
--- a/src/ask/run.c
+++ b/src/ask/run.c
@@ -131,6 +131,12 @@
     case ASK_UNSET_LIMIT:
       *action = CONF_UNSET_LIMIT;
       return true;
+    case ASK_EVACUATE:
+      *action = CONF_EVACUATE_ZONE;
+      return true;
+    case ASK_RESTORE:
+      *action = CONF_RESTORE_ZONE;
+      return true;
     default:
       return false;
     }
@@ -146,6 +152,8 @@
   g_strlcpy (command->service, q->service, sizeof command->service);
   g_strlcpy (command->organisation, q->organisation,
              sizeof command->organisation);
+  g_strlcpy (command->zone, q->zone, sizeof command->zone);
+  command->zone_column = q->column[ASK_ARGUMENT_ZONE];
   command->kind = q->organisation_kind;
   command->limit = q->limit;
   command->value = q->value;
--- a/src/conf/apply.c
+++ b/src/conf/apply.c
@@ -143,11 +143,34 @@
   return true;
 }
 
+static bool
+evacuate_zone (struct conf *c, const struct conf_command *command,
+               struct findings *findings)
+{
+  if (!conf_zone_is_evacuated (c, command->zone)
+      && !require_capacity (c->zones, CONF_ZONES_MAX, command->zone_column,
+                            "evacuated zones", findings))
+    return false;
+  conf_set_evacuated (c, command->zone, true);
+  return true;
+}
+
+static bool
+restore_zone (struct conf *c, const struct conf_command *command,
+              struct findings *findings)
+{
+  (void)findings;
+  conf_set_evacuated (c, command->zone, false);
+  return true;
+}
+
 static apply_fn *const apply_fns[] = {
   [CONF_CREATE_SERVICE] = create_service,
   [CONF_MARK_ORGANISATION] = mark_organisation,
   [CONF_SET_LIMIT] = set_limit,
   [CONF_UNSET_LIMIT] = unset_limit,
+  [CONF_EVACUATE_ZONE] = evacuate_zone,
+  [CONF_RESTORE_ZONE] = restore_zone,
 };
 
 /* Give C the next revision and add COMMAND to its audit.  */
@@ -186,6 +209,12 @@
       *next = conf_ref (c);
       return STATUS_OK;
     }
+  if (command->check != NULL
+      && !command->check (command->check_arg, copy, command, findings))
+    {
+      conf_unref (copy);
+      return status_set (STATUS_INVALID, "the command does not apply");
+    }
   record_command (copy, command);
   *next = copy;
   return STATUS_OK;
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -23,6 +23,7 @@
   CONF_SERVICES_MAX = 128,
   CONF_ORGANISATIONS_MAX = 8192,
   CONF_OVERRIDES_MAX = 1024,
+  CONF_ZONES_MAX = 64, /* evacuated zones */
   CONF_AUDIT_MAX = 50,
   /* The largest value that the store accepts.  */
   CONF_JSON_BYTES_MAX = 1000000
@@ -88,12 +89,20 @@
   bool is_set[CONF_LIMIT_COUNT];
 };
 
+/* A zone that is out of service.  */
+struct conf_zone
+{
+  char name[CONF_NAME_BYTES];
+};
+
 enum conf_action
 {
   CONF_CREATE_SERVICE,
   CONF_MARK_ORGANISATION,
   CONF_SET_LIMIT,
-  CONF_UNSET_LIMIT /* remove the override of one organisation */
+  CONF_UNSET_LIMIT, /* remove the override of one organisation */
+  CONF_EVACUATE_ZONE,
+  CONF_RESTORE_ZONE
 };
 
 /* The audit record of one accepted command: who gave it and when, and the
@@ -112,8 +121,18 @@
   enum conf_kind kind;
   enum conf_limit limit;
   uint32_t value;
+  char zone[CONF_NAME_BYTES];
 };
 
+struct conf;
+struct conf_command;
+
+/* A condition on NEXT, the configuration that COMMAND would make.  False after
+   adding a finding.  */
+typedef bool conf_check_fn (void *arg, const struct conf *next,
+                            const struct conf_command *command,
+                            struct findings *findings);
+
 /* A command that changes the configuration.  The columns are positions in the
    command's text, for findings.  */
 struct conf_command
@@ -124,9 +143,15 @@
   enum conf_kind kind;
   enum conf_limit limit;
   uint32_t value;
+  char zone[CONF_NAME_BYTES];
   unsigned service_column;
   unsigned organisation_column;
   unsigned value_column;
+  unsigned zone_column;
+  /* Called each time the command is applied to what the store holds, thus
+     also after a lost race.  NULL: no condition.  */
+  conf_check_fn *check;
+  void *check_arg;
   /* For the audit.  */
   uint64_t change_id;
   int64_t wall_ms;
@@ -135,8 +160,6 @@
   char text[CONF_TEXT_BYTES];
 };
 
-struct conf;
-
 /* Create an empty configuration with revision 0.  */
 struct conf *conf_new (void);
 
@@ -166,6 +189,11 @@
                                                       size_t i);
 const struct conf_override *conf_override_at (const struct conf *c, size_t i);
 const struct conf_audit_entry *conf_audit_at (const struct conf *c, size_t i);
+const struct conf_zone *conf_evacuated_zone_at (const struct conf *c,
+                                                size_t i);
+
+/* Whether ZONE is evacuated.  */
+bool conf_zone_is_evacuated (const struct conf *c, const char *zone);
 
 /* The service called NAME, or NULL.  */
 const struct conf_service *conf_find_service (const struct conf *c,
--- a/src/conf/data.c
+++ b/src/conf/data.c
@@ -44,6 +44,12 @@
   return order != 0 ? order : strcmp (k->organisation, o->organisation);
 }
 
+static int
+compare_zone (const void *key, const void *entry)
+{
+  return strcmp ((const char *)key, ((const struct conf_zone *)entry)->name);
+}
+
 static char *
 element_at (const GArray *array, guint i)
 {
@@ -108,6 +114,7 @@
   c->organisations
       = g_array_new (FALSE, TRUE, sizeof (struct conf_organisation));
   c->overrides = g_array_new (FALSE, TRUE, sizeof (struct conf_override));
+  c->zones = g_array_new (FALSE, TRUE, sizeof (struct conf_zone));
   c->audit = g_array_new (FALSE, TRUE, sizeof (struct conf_audit_entry));
   return c;
 }
@@ -121,6 +128,7 @@
   copy->services = copy_array (c->services);
   copy->organisations = copy_array (c->organisations);
   copy->overrides = copy_array (c->overrides);
+  copy->zones = copy_array (c->zones);
   copy->audit = copy_array (c->audit);
   return copy;
 }
@@ -140,6 +148,7 @@
   g_array_free (c->services, TRUE);
   g_array_free (c->organisations, TRUE);
   g_array_free (c->overrides, TRUE);
+  g_array_free (c->zones, TRUE);
   g_array_free (c->audit, TRUE);
   g_free (c);
 }
@@ -208,6 +217,28 @@
                         lower_bound (c->overrides, &key, compare_override));
 }
 
+void
+conf_set_evacuated (struct conf *c, const char *zone, bool evacuated)
+{
+  struct conf_zone entry = { 0 };
+  if (conf_zone_is_evacuated (c, zone) == evacuated)
+    return;
+  if (!evacuated)
+    {
+      g_array_remove_index (c->zones,
+                            lower_bound (c->zones, zone, compare_zone));
+      return;
+    }
+  g_strlcpy (entry.name, zone, sizeof entry.name);
+  insert_entry (c->zones, zone, compare_zone, &entry);
+}
+
+bool
+conf_zone_is_evacuated (const struct conf *c, const char *zone)
+{
+  return find_entry (c->zones, zone, compare_zone) != NULL;
+}
+
 void
 conf_append_audit (struct conf *c, const struct conf_audit_entry *entry)
 {
@@ -292,6 +323,12 @@
   return (const struct conf_audit_entry *)entry_at (c->audit, i);
 }
 
+const struct conf_zone *
+conf_evacuated_zone_at (const struct conf *c, size_t i)
+{
+  return (const struct conf_zone *)entry_at (c->zones, i);
+}
+
 const struct conf_audit_entry *
 conf_find_change (const struct conf *c, uint64_t change_id)
 {
--- a/src/conf/data.h
+++ b/src/conf/data.h
@@ -14,6 +14,7 @@
   GArray *services;      /* struct conf_service */
   GArray *organisations; /* struct conf_organisation */
   GArray *overrides;     /* struct conf_override */
+  GArray *zones;         /* struct conf_zone: those that are evacuated */
   GArray *audit;         /* struct conf_audit_entry */
 };
 
@@ -40,6 +41,10 @@
 void conf_prune_override (struct conf *c, const char *service,
                           const char *organisation);
 
+/* Add ZONE to the evacuated zones, or remove it; nothing is done if it is so
+   already.  */
+void conf_set_evacuated (struct conf *c, const char *zone, bool evacuated);
+
 /* Append ENTRY to the audit, which keeps the last CONF_AUDIT_MAX entries.  */
 void conf_append_audit (struct conf *c, const struct conf_audit_entry *entry);
 
--- a/src/conf/diff.c
+++ b/src/conf/diff.c
@@ -125,6 +125,17 @@
       diff_override (text, o, NULL);
 }
 
+/* List the zones that are evacuated in C and not in OTHER.  */
+static void
+diff_zones (GString *text, const struct conf *c, const struct conf *other,
+            const char *change)
+{
+  const struct conf_zone *z;
+  for (size_t i = 0; (z = conf_evacuated_zone_at (c, i)) != NULL; i++)
+    if (!conf_zone_is_evacuated (other, z->name))
+      g_string_append_printf (text, "zone %s: %s\n", z->name, change);
+}
+
 char *
 conf_diff (const struct conf *before, const struct conf *after)
 {
@@ -132,6 +143,8 @@
   diff_services (text, before, after);
   diff_organisations (text, before, after);
   diff_overrides (text, before, after);
+  diff_zones (text, after, before, "in service -> evacuated");
+  diff_zones (text, before, after, "evacuated -> in service");
   char *copy = strdup (text->str);
   g_string_free (text, TRUE);
   return copy;
--- a/src/conf/json.c
+++ b/src/conf/json.c
@@ -4,10 +4,15 @@
     "services": {NAME: {"trial_share": N, ..., "organisations":
                         {NAME: {"trial_rate": N}}}},
     "organisations": {NAME: "trial" | "paying"},
+    "evacuated": [ZONE...],
     "audit": [{"revision": N, "change": "16 hex digits", "wall_ms": N,
                "who": TEXT, "why": TEXT, "command": TEXT, "action": ACTION,
                "service": NAME or "", "organisation": NAME or "",
-               "kind": KIND or "", "limit": LIMIT or "", "value": N}]}  */
+               "kind": KIND or "", "limit": LIMIT or "", "value": N,
+               "zone": ZONE}]}
+
+   "evacuated" is present if a zone is evacuated, "zone" in entries of commands
+   on zones: configurations without them have the form of earlier versions.  */
 
 #include "conf/data.h"
 #include "conf/record.h"
@@ -28,6 +33,10 @@
 static const char *const root_keys[]
     = { "format", "revision", "services", "organisations", "audit", NULL };
 
+static const char *const root_keys_evacuated[]
+    = { "format",    "revision", "services", "organisations",
+        "evacuated", "audit",    NULL };
+
 static const char *const service_keys[] = {
 #define LIMIT(name, word, key, low, high, initial, unit, single, help) key,
 #include "conf/limits.def"
@@ -93,6 +102,16 @@
   return organisations;
 }
 
+static json_t *
+zones_to_json (const struct conf *c)
+{
+  json_t *zones = json_array ();
+  const struct conf_zone *z;
+  for (size_t i = 0; (z = conf_evacuated_zone_at (c, i)) != NULL; i++)
+    json_array_append_new (zones, json_string (z->name));
+  return zones;
+}
+
 static json_t *
 audit_to_json (const struct conf *c)
 {
@@ -112,6 +131,8 @@
                        json_integer ((json_int_t)c->revision));
   json_object_set_new (root, "services", services_to_json (c));
   json_object_set_new (root, "organisations", organisations_to_json (c));
+  if (c->zones->len > 0)
+    json_object_set_new (root, "evacuated", zones_to_json (c));
   json_object_set_new (root, "audit", audit_to_json (c));
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
@@ -252,6 +273,29 @@
   read_entries (r, "organisations", organisations, read_organisation);
 }
 
+static void
+read_zones (struct reader *r, const json_t *zones)
+{
+  if (!json_is_array (zones) || json_array_size (zones) == 0
+      || json_array_size (zones) > CONF_ZONES_MAX)
+    {
+      findings_add (r->findings, 1, 1, "evacuated",
+                    "is not an array of 1 to %d zones", CONF_ZONES_MAX);
+      return;
+    }
+  for (size_t i = 0; i < json_array_size (zones); i++)
+    {
+      const char *zone = json_string_value (json_array_get (zones, i));
+      if (!conf_is_valid_name (zone) || conf_zone_is_evacuated (r->c, zone))
+        {
+          strict_add_finding (r->findings, "evacuated",
+                              "contains an invalid or repeated zone");
+          return;
+        }
+      conf_set_evacuated (r->c, zone, true);
+    }
+}
+
 static void
 read_audit_entry (struct reader *r, const char *name, const json_t *object)
 {
@@ -307,7 +351,9 @@
 {
   int64_t format = 0;
   int64_t revision = 0;
-  if (!strict_check_keys (r->findings, "configuration", root, root_keys))
+  const json_t *zones = json_object_get (root, "evacuated");
+  if (!strict_check_keys (r->findings, "configuration", root,
+                          zones == NULL ? root_keys : root_keys_evacuated))
     return;
   if (!strict_read_integer (r->findings, "format",
                             json_object_get (root, "format"), FORMAT_VERSION,
@@ -319,6 +365,8 @@
   r->c->revision = (uint64_t)revision;
   read_services (r, json_object_get (root, "services"));
   read_organisations (r, json_object_get (root, "organisations"));
+  if (zones != NULL)
+    read_zones (r, zones);
   read_audit (r, json_object_get (root, "audit"));
 }
 
--- a/src/conf/record.c
+++ b/src/conf/record.c
@@ -19,11 +19,18 @@
         "command",  "action", "service", "organisation", "kind",
         "limit",    "value",  NULL };
 
+static const char *const zone_entry_keys[]
+    = { "revision", "change",  "wall_ms",      "who",  "why",   "command",
+        "action",   "service", "organisation", "kind", "limit", "value",
+        "zone",     NULL };
+
 static const char *const action_names[] = {
   [CONF_CREATE_SERVICE] = "create-service",
   [CONF_MARK_ORGANISATION] = "mark-organisation",
   [CONF_SET_LIMIT] = "set-limit",
   [CONF_UNSET_LIMIT] = "unset-limit",
+  [CONF_EVACUATE_ZONE] = "evacuate-zone",
+  [CONF_RESTORE_ZONE] = "restore-zone",
 };
 
 static bool
@@ -32,6 +39,12 @@
   return action == CONF_SET_LIMIT || action == CONF_UNSET_LIMIT;
 }
 
+static bool
+has_zone (enum conf_action action)
+{
+  return action == CONF_EVACUATE_ZONE || action == CONF_RESTORE_ZONE;
+}
+
 struct conf_audit_entry
 conf_audit_from_command (const struct conf_command *command, uint64_t revision)
 {
@@ -48,6 +61,7 @@
   a.kind = command->kind;
   a.limit = command->limit;
   a.value = command->value;
+  g_strlcpy (a.zone, command->zone, sizeof a.zone);
   return a;
 }
 
@@ -63,6 +77,7 @@
   g_strlcpy (command.service, a->service, sizeof command.service);
   g_strlcpy (command.organisation, a->organisation,
              sizeof command.organisation);
+  g_strlcpy (command.zone, a->zone, sizeof command.zone);
   g_strlcpy (command.who, a->who, sizeof command.who);
   g_strlcpy (command.why, a->why, sizeof command.why);
   g_strlcpy (command.text, a->text, sizeof command.text);
@@ -73,6 +88,9 @@
 conf_audit_conflicts (const struct conf_audit_entry *a,
                       const struct conf_command *command)
 {
+  if (has_zone (a->action) || has_zone (command->action))
+    return has_zone (a->action) && has_zone (command->action)
+           && strcmp (a->zone, command->zone) == 0;
   if (has_limit (a->action) != has_limit (command->action))
     return false;
   if (!has_limit (a->action) && a->action != command->action)
@@ -107,6 +125,8 @@
       entry, "limit",
       json_string (takes_limit ? conf_limits_schema[a->limit].word : ""));
   json_object_set_new (entry, "value", json_integer (a->value));
+  if (has_zone (a->action))
+    json_object_set_new (entry, "zone", json_string (a->zone));
   return entry;
 }
 
@@ -176,7 +196,8 @@
   a->action = (enum conf_action)action_index;
   if (action_index < 0
       || (a->action == CONF_MARK_ORGANISATION) != (kind_index >= 0)
-      || has_limit (a->action) != (limit_index >= 0))
+      || has_limit (a->action) != (limit_index >= 0)
+      || has_zone (a->action) != (a->zone[0] != '\0'))
     {
       strict_add_finding (
           f, name,
@@ -242,7 +263,10 @@
                       struct findings *findings, struct conf_audit_entry *a)
 {
   memset (a, 0, sizeof *a);
-  return strict_check_keys (findings, name, object, entry_keys)
+  const json_t *zone = json_object_get (object, "zone");
+  return strict_check_keys (findings, name, object,
+                            zone == NULL ? entry_keys : zone_entry_keys)
+         && (zone == NULL || read_name (findings, name, zone, a->zone))
          && read_numbers (findings, name, object, a)
          && read_strings (findings, name, object, a)
          && read_action (findings, name, object, a);
--- a/test/unit/test_ask.c
+++ b/test/unit/test_ask.c
@@ -50,6 +50,8 @@
   append_text_argument (out, "service", q->service);
   append_text_argument (out, "organisation", q->organisation);
   append_text_argument (out, "node", q->node);
+  append_text_argument (out, "zone", q->zone);
+  append_text_argument (out, "forced", q->forced ? "yes" : "");
   append_numbers (out, q);
   append_text_argument (out, "because", q->why);
   append_text_argument (out, "by", q->who);
--- a/test/unit/test_conf.c
+++ b/test/unit/test_conf.c
@@ -140,6 +140,9 @@
     ask_answer_limits (a, fx->current, &q);
   else if (strcmp (answer_name, "organisations") == 0)
     ask_answer_organisations (a, fx->current);
+  else if (strcmp (answer_name, "zones") == 0)
+    ask_answer_zones (a, fx->current,
+                      (const char *const[]){ "east", "north", NULL });
   else if (strcmp (answer_name, "change") == 0)
     ask_answer_change (a, fx->base, fx->current, true);
   else
@@ -366,6 +369,14 @@
       }
   longest_name (command.organisation, CONF_OVERRIDES_MAX);
   assert_false (apply (&c, &command));
+  command.action = CONF_EVACUATE_ZONE;
+  for (unsigned i = 0; i < CONF_ZONES_MAX; i++)
+    {
+      longest_name (command.zone, i);
+      assert_true (apply (&c, &command));
+    }
+  longest_name (command.zone, CONF_ZONES_MAX);
+  assert_false (apply (&c, &command));
   char *json = conf_to_json (c);
   assert_true (strlen (json) <= CONF_JSON_BYTES_MAX);
   free (json);
