Take the nodes of evacuated zones out of their cell

A node whose zone is evacuated hands over its keys, leaves the cell and joins again after the restore; it reads the cell's document every 5 s meanwhile and watches the configuration in the store, since it has no parent. 3 s after it learned of the evacuation its target gets no new request. The last members of a cell keep their keys and refuse.

--- a/src/own/agent.c
+++ b/src/own/agent.c
@@ -429,17 +429,45 @@
              : next_ns;
 }
 
+static void
+begin_leave (struct agent *a, int64_t now_ns)
+{
+  if (!a->leave_requested)
+    a->leave_requested_ns = now_ns;
+  a->leave_requested = true;
+  if (a->self != 0 || a->left || a->store.unsettled)
+    return;
+  a->left = true;
+  agent_log_event (a, EV_LEFT, "incarnation=0");
+}
+
+/* The other members were told that this one left: go on as one that has not
+   joined yet.  */
+static void
+end_leave (struct agent *a, int64_t now_ns)
+{
+  a->left = false;
+  a->leave_requested = false;
+  a->store.removes_self = false;
+  a->store.read_wanted = true;
+  a->next_join_ns = now_ns;
+  a->last_tick_ns = now_ns;
+}
+
 int64_t
 agent_tick (struct agent *a, int64_t now_ns)
 {
   if (!a->started)
     return AGENT_FOREVER_NS;
   if (a->leave_requested)
-    agent_leave (a, now_ns);
+    begin_leave (a, now_ns);
   if (a->left)
     {
       agent_msg_tick (a, now_ns);
-      return agent_msg_next (a, now_ns);
+      int64_t next_ns = agent_msg_next (a, now_ns);
+      if (a->leave_final || next_ns != AGENT_FOREVER_NS)
+        return next_ns;
+      end_leave (a, now_ns);
     }
   detect_pause (a, now_ns);
   a->now_ns = now_ns;
@@ -453,13 +481,22 @@
 void
 agent_leave (struct agent *a, int64_t now_ns)
 {
-  if (!a->leave_requested)
-    a->leave_requested_ns = now_ns;
-  a->leave_requested = true;
-  if (a->self != 0 || a->left || a->store.unsettled)
-    return;
-  a->left = true;
-  agent_log_event (a, EV_LEFT, "incarnation=0");
+  a->leave_final = true;
+  begin_leave (a, now_ns);
+}
+
+void
+agent_set_out (struct agent *a, bool out, int64_t now_ns)
+{
+  a->out = out;
+  if (out && (a->self != 0 || a->store.unsettled))
+    begin_leave (a, now_ns);
+}
+
+bool
+agent_has_left (const struct agent *a)
+{
+  return a->left && a->leave_final;
 }
 
 enum status
--- a/src/own/agent.h
+++ b/src/own/agent.h
@@ -192,6 +192,14 @@
    available to peers until then.  */
 void agent_leave (struct agent *agent, int64_t now_ns);
 
+/* OUT: leave the cell as by agent_leave and stay out of it, but go on reading
+   its document; agent_leave remains possible.  Not OUT: join the cell again,
+   once a leave that was begun has completed.  */
+void agent_set_out (struct agent *agent, bool out, int64_t now_ns);
+
+/* Whether agent_leave has completed.  */
+bool agent_has_left (const struct agent *agent);
+
 /* Start to move SLOT, owned by this member, to the member INCARNATION.
    EV_SLOTS_MOVED or EV_MOVE_GIVEN_UP reports the end.  Return STATUS_OK,
    STATUS_NOT_FOUND (no such active member), STATUS_INVALID (this node is not a
--- a/src/own/agent_plan.c
+++ b/src/own/agent_plan.c
@@ -74,7 +74,8 @@
 static bool
 join_due (const struct agent *a, int64_t now_ns)
 {
-  return a->self == 0 && !a->leave_requested && now_ns >= a->next_join_ns
+  return a->self == 0 && !a->leave_requested && !a->out
+         && now_ns >= a->next_join_ns
          && (a->cell != NULL || a->store.document_absent);
 }
 
@@ -408,8 +409,9 @@
 agent_plan_next (const struct agent *a, int64_t now_ns)
 {
   if (a->self == 0)
-    return a->leave_requested || a->next_join_ns <= now_ns ? AGENT_FOREVER_NS
-                                                           : a->next_join_ns;
+    return a->leave_requested || a->out || a->next_join_ns <= now_ns
+               ? AGENT_FOREVER_NS
+               : a->next_join_ns;
   int64_t next_ns = lease_guardian_next_lapse (&a->guardian_state, now_ns);
   for (uint32_t i = 0; i < a->guardian_state.count; i++)
     {
--- a/src/own/agent_state.h
+++ b/src/own/agent_state.h
@@ -124,6 +124,8 @@
   bool leave_requested;
   int64_t leave_requested_ns;
   bool left;
+  bool leave_final; /* by agent_leave: this member does not join again */
+  bool out;         /* by agent_set_out */
   int64_t last_tick_ns;
 
   struct cell *cell;
--- a/src/route/asknode.c
+++ b/src/route/asknode.c
@@ -344,6 +344,7 @@
   .config_in_force = answer_config_in_force,
   .limits = asknode_limits,
   .organisations = asknode_organisations,
+  .zones = asknode_zones,
   .history = asknode_history,
   .store = answer_store,
   .lease = answer_lease,
@@ -357,6 +358,8 @@
   .unpin = asknode_command_ownership,
   .drain = asknode_command_ownership,
   .evict = asknode_command_ownership,
+  .evacuate = asknode_change_conf,
+  .restore = asknode_change_conf,
 };
 
 struct service *
--- a/src/route/asknode_parts.h
+++ b/src/route/asknode_parts.h
@@ -52,6 +52,8 @@
                              struct ask_answer *answer);
 enum status asknode_limits (struct ask_node *node, const struct ask_query *q,
                             struct ask_answer *answer);
+enum status asknode_zones (struct ask_node *node, const struct ask_query *q,
+                           struct ask_answer *answer);
 enum status asknode_change_conf (struct ask_node *node,
                                  const struct ask_query *q,
                                  struct ask_answer *answer);
--- a/src/route/confd.c
+++ b/src/route/confd.c
@@ -52,6 +52,7 @@
   pthread_mutex_t lock;
   struct conf *conf;
   uint64_t revision;    /* of conf */
+  uint32_t evacuated;   /* this node's zone is evacuated in conf */
   int64_t next_poll_ns; /* time of the next fetch from the parent */
   int64_t backoff_ns;   /* delay of the next fetch when not up to date */
   uint64_t announced_revision; /* highest revision of a notice */
@@ -76,6 +77,8 @@
   pthread_mutex_lock (&c->lock);
   bool newer = conf_replace_if_newer (&c->conf, conf) == STATUS_OK;
   uint64_t revision = conf_revision (c->conf);
+  ck_pr_store_32 (&c->evacuated,
+                  conf_zone_is_evacuated (c->conf, c->settings->zone));
   ck_pr_store_64 (&c->revision, revision);
   pthread_mutex_unlock (&c->lock);
   if (newer)
@@ -353,9 +356,13 @@
   if (view->self_incarnation != *self)
     c->next_poll_ns = 0;
   *self = view->self_incarnation;
-  if (tree_is_watcher (view) && !c->watching)
+  /* A node that left the cell because its zone is evacuated has no parent.  */
+  bool watches
+      = tree_is_watcher (view)
+        || (view->self_incarnation == 0 && ck_pr_load_32 (&c->evacuated) != 0);
+  if (watches && !c->watching)
     start_watch (c);
-  else if (!tree_is_watcher (view))
+  else if (!watches)
     stop_watch (c);
 }
 
@@ -492,6 +499,12 @@
   return ck_pr_load_32 (&((struct confd *)confd)->loaded) != 0;
 }
 
+bool
+confd_is_evacuated (struct service *confd)
+{
+  return ck_pr_load_32 (&((struct confd *)confd)->evacuated) != 0;
+}
+
 uint64_t
 confd_revision (struct service *confd)
 {
--- a/src/route/confd.h
+++ b/src/route/confd.h
@@ -30,6 +30,10 @@
    trials.  Any thread.  */
 bool confd_is_loaded (struct service *confd);
 
+/* Whether the zone of this node is evacuated in the configuration in force.
+   Any thread.  */
+bool confd_is_evacuated (struct service *confd);
+
 /* The revision of the configuration in force.  Any thread.  */
 uint64_t confd_revision (struct service *confd);
 
--- a/src/route/ownd.c
+++ b/src/route/ownd.c
@@ -39,6 +39,9 @@
 #define HANDOVER_TIMEOUT_NS (2 * NS_PER_S)
 #define COMMAND_TIMEOUT_NS NS_PER_S
 #define METER_INTERVAL_NS (250 * NS_PER_MS)
+/* Interval of reads of the cell's document by a node that is out of the cell:
+   how long its map may be outdated for the callers that it forwards.  */
+#define OUT_READ_INTERVAL_NS (5 * NS_PER_S)
 
 /* The handover under way: its slots, or the slot of its key, are closed at
    this node.  */
@@ -69,10 +72,11 @@
   char document_key[STORE_JOB_KEY_BYTES];
   int udp;
   uint32_t fetching;        /* set during the fetch of ownd_fetch_document */
-  uint32_t has_left;        /* set when the agent has left the cell */
   uint32_t leave_announced; /* set when the others were notified */
   uint32_t leave_requested; /* set by ownd_drain */
   bool leave_begun;
+  bool out;             /* the agent left because its zone is evacuated */
+  int64_t next_read_ns; /* of the document while OUT */
   pthread_mutex_t description_lock;
   char *description; /* state of the agent as text, or NULL */
   int64_t described_ns;
@@ -244,10 +248,7 @@
 static void
 env_notify (struct agent_env *env, enum event ev, const char *detail)
 {
-  struct ownd *o = ownd_from_env (env);
-  agent_env_log (o->settings->name, ev, detail);
-  if (ev == EV_LEFT)
-    ck_pr_store_32 (&o->has_left, 1);
+  agent_env_log (ownd_from_env (env)->settings->name, ev, detail);
 }
 
 static const struct agent_env_ops env_ops = {
@@ -422,6 +423,48 @@
   inbox_clear_wakeup (o->inbox);
 }
 
+/* Whether the cell has an active member, other than this one, in a zone that
+   is not evacuated in CONF.  */
+static bool
+has_other_target (const struct ownd *o, const struct conf *conf)
+{
+  const struct cell *cell = agent_cell (o->agent);
+  for (uint32_t i = 0; cell != NULL && i < cell->member_count; i++)
+    if (cell->members[i].incarnation != agent_self (o->agent)
+        && cell->members[i].state == MEMBER_ACTIVE
+        && !conf_zone_is_evacuated (conf, cell->members[i].zone))
+      return true;
+  return false;
+}
+
+/* Leave the cell when the zone of this node is evacuated, and join it again
+   when the zone is restored.  Without a member to hand over to, this one keeps
+   what it owns, which is not served.  */
+static void
+follow_evacuation (struct ownd *o, struct service *confd, int64_t now_ns)
+{
+  bool evacuated = confd_is_evacuated (confd);
+  if (evacuated && !o->out)
+    {
+      struct conf *conf = confd_get (confd);
+      o->out = agent_self (o->agent) == 0 || has_other_target (o, conf);
+      if (o->out)
+        agent_set_out (o->agent, true, now_ns);
+      conf_unref (conf);
+    }
+  else if (!evacuated && o->out)
+    {
+      o->out = false;
+      agent_set_out (o->agent, false, now_ns);
+    }
+  /* A member hears of new documents by leases; this node is none.  */
+  if (o->out && now_ns >= o->next_read_ns)
+    {
+      o->next_read_ns = now_ns + OUT_READ_INTERVAL_NS;
+      submit_job (o, agent_job_read (true));
+    }
+}
+
 static void *
 ownd_run (void *arg)
 {
@@ -439,10 +482,11 @@
           o->leave_begun = true;
           agent_leave (o->agent, clock_now_ns ());
         }
+      follow_evacuation (o, confd, clock_now_ns ());
       check_handover (o, clock_now_ns ());
       report_load (o, clock_now_ns ());
       int64_t next_ns = agent_tick (o->agent, clock_now_ns ());
-      if (next_ns == AGENT_FOREVER_NS && ck_pr_load_32 (&o->has_left) != 0)
+      if (next_ns == AGENT_FOREVER_NS && agent_has_left (o->agent))
         ck_pr_store_32 (&o->leave_announced, 1);
       describe (o, clock_now_ns ());
       wait_events (o, next_ns);
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -15,6 +15,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How long after this node learned that its zone is evacuated it still sends
+   requests for keys that it owns, while they are handed over.  A node learns
+   of it up to 2 s late, and nothing may be sent 5 s after the command.  */
+#define EVACUATION_CLOSE_NS (3 * NS_PER_S)
+
 enum
 {
   INBOX_ITEMS_PER_REQUEST = 4,
@@ -50,7 +55,8 @@
   struct inbox *inbox;
   struct service *confd;
   struct service *rated;
-  struct conf *conf; /* the configuration in force; a reference */
+  struct conf *conf;    /* the configuration in force; a reference */
+  int64_t evacuated_ns; /* since when this zone is evacuated in CONF; 0: not */
   struct gate *gate;
   struct hot_meter *meter;
   CURLM *multi;
@@ -115,6 +121,15 @@
   end_send (s, OUTCOME_NOT_RUN, reason);
 }
 
+/* Whether nothing may be sent because the zone is evacuated.  Until then the
+   owner of a key serves it while it is handed over.  */
+static bool
+is_evacuated (const struct target *t, int64_t now_ns)
+{
+  return t->evacuated_ns != 0
+         && now_ns - t->evacuated_ns >= EVACUATION_CLOSE_NS;
+}
+
 /* Start S, which is in no list and was admitted by the gate.  */
 static void
 start_send (struct target *t, struct send *s, int64_t now_ns)
@@ -132,6 +147,11 @@
       end_admitted (t, s, REASON_DEADLINE, now_ns);
       return;
     }
+  if (is_evacuated (t, now_ns))
+    {
+      end_admitted (t, s, REASON_ZONE_EVACUATED, now_ns);
+      return;
+    }
   if (map_begin_request (t->map, r->key, now_ns, &s->owner, &reason)
       != STATUS_OK)
     {
@@ -380,6 +400,10 @@
   struct conf_limits limits
       = conf_effective_limits (t->conf, t->settings->service, NULL);
   gate_set_trial_share (t->gate, limits.value[CONF_TRIAL_SHARE], true);
+  if (!conf_zone_is_evacuated (t->conf, t->settings->zone))
+    t->evacuated_ns = 0;
+  else if (t->evacuated_ns == 0)
+    t->evacuated_ns = clock_now_ns ();
 }
 
 static struct admit_policy
@@ -412,6 +436,11 @@
 static void
 admit_attempt (struct target *t, struct attempt *a, int64_t now_ns)
 {
+  if (is_evacuated (t, now_ns))
+    {
+      attempt_fail (a, OUTCOME_NOT_RUN, REASON_ZONE_EVACUATED);
+      return;
+    }
   if (!is_within_rate (t, a->request->organisation, now_ns))
     {
       attempt_fail (a, OUTCOME_NOT_RUN, REASON_TRIAL_RATE);
