Bound the memory of bodies, frames and responses

Bodies were buffered whole, up to four times each, and nothing tracked their total. Responses are counted and always delivered. A body is now held twice at most: the router takes it from the connection, and the target's side drops it once the message is written. Buffers of large frames and responses are not kept.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -16,7 +16,9 @@
   IDLE_MAX_MS = 4000,
   MS_PER_S = 1000,
   CONNECT_TIMEOUT_MS = 1000, /* ample for a target on the same instance */
-  BODY_BYTES_MAX_INITIAL = 64 << 20
+  BODY_BYTES_MAX_INITIAL = 64 << 20,
+  /* Memory of a body that an idle connection keeps: most responses fit.  */
+  BODY_KEPT_BYTES = 16 * 1024
 };
 
 struct http_client
@@ -28,9 +30,10 @@
   uint32_t body_bytes_max;
   http_unbounded_fn *on_unbounded; /* may be NULL */
   void *unbounded_arg;
-  GQueue idle_connections; /* last used first */
-  GQueue open_connections; /* struct connection */
-  GQueue queued_calls;     /* calls that have no connection yet */
+  const struct http_memory *memory; /* may be NULL */
+  GQueue idle_connections;          /* last used first */
+  GQueue open_connections;          /* struct connection */
+  GQueue queued_calls;              /* calls that have no connection yet */
 };
 
 struct connection
@@ -48,6 +51,7 @@
   size_t received;      /* bytes since CALL was sent */
   size_t body_received; /* bytes of bodies in RECEIVED */
   size_t skipped_body;  /* bytes of bodies of skipped messages */
+  size_t counted_bytes; /* in the client's memory */
   uint32_t chunk_count; /* chunks in RECEIVED */
   const char *bound;    /* the bound that the response exceeds, or NULL */
   unsigned open_handles;
@@ -87,6 +91,18 @@
   call_free (call);
 }
 
+/* Count BYTES more of the body of C, or all that were counted as no longer
+   held if BYTES is 0.  */
+static void
+count_body (struct connection *c, size_t bytes)
+{
+  const struct http_memory *m = c->client->memory;
+  if (m == NULL)
+    return;
+  m->count (m->arg, bytes > 0 ? (int64_t)bytes : -(int64_t)c->counted_bytes);
+  c->counted_bytes = bytes > 0 ? c->counted_bytes + bytes : 0;
+}
+
 static void
 report_unbounded (struct connection *c, const char *cause, size_t bytes)
 {
@@ -112,6 +128,7 @@
   if (c->closed)
     return;
   c->closed = true;
+  count_body (c, 0);
   c->client->connection_count--;
   g_queue_unlink (&c->client->open_connections, &c->open_link);
   if (c->is_idle)
@@ -204,7 +221,10 @@
   if (c->skip_message)
     c->skipped_body += length;
   else
-    g_string_append_len (c->body, at, (gssize)length);
+    {
+      g_string_append_len (c->body, at, (gssize)length);
+      count_body (c, length);
+    }
   return 0;
 }
 
@@ -261,6 +281,12 @@
 add_to_idle (struct connection *c)
 {
   c->response_complete = false;
+  count_body (c, 0);
+  if (c->body->allocated_len > BODY_KEPT_BYTES)
+    {
+      g_string_free (c->body, TRUE);
+      c->body = g_string_new (NULL);
+    }
   c->is_idle = true;
   c->idle_link.data = c;
   g_queue_push_head_link (&c->client->idle_connections, &c->idle_link);
@@ -504,6 +530,13 @@
   client->body_bytes_max = bytes;
 }
 
+void
+http_client_set_memory (struct http_client *client,
+                        const struct http_memory *memory)
+{
+  client->memory = memory;
+}
+
 void
 http_client_on_unbounded (struct http_client *client, http_unbounded_fn *fn,
                           void *arg)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -8,6 +8,7 @@
 #define HTTP_CLIENT_H
 
 #include "http/headers.h"
+#include "http/memory.h"
 #include "settings/settings.h"
 #include <glib.h>
 #include <stdbool.h>
@@ -64,6 +65,10 @@
    have the bounds of http/bounds.h.  */
 void http_client_set_body_max (struct http_client *client, uint32_t bytes);
 
+/* Count the bodies of responses in MEMORY, which must outlive the client.  */
+void http_client_set_memory (struct http_client *client,
+                             const struct http_memory *memory);
+
 /* Called when a connection is closed at a bound, after BYTES of the response
    or after bytes that belong to no call.  CAUSE is one word.  */
 typedef void http_unbounded_fn (void *arg, const char *cause, size_t bytes);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -15,9 +15,14 @@
   UNREAD_BYTES_MAX = 256 * 1024,
   /* How long a caller may take to close the connection after the last
      response.  */
-  LINGER_TIMEOUT_MS = 1000
+  LINGER_TIMEOUT_MS = 1000,
+  /* Interval at which a body that did not fit into the memory is tried
+     again: short beside the time that a body takes to arrive.  */
+  MEMORY_RETRY_MS = 20
 };
 
+#define NS_PER_SECOND 1e9
+
 struct http_server
 {
   uv_tcp_t listener;
@@ -26,6 +31,8 @@
   http_handler_fn *handler;
   void *arg;
   GQueue connections;
+  const struct http_memory *memory; /* may be NULL */
+  uv_timer_t memory_timer;          /* active while a body waits for memory */
   bool draining;
 };
 
@@ -44,7 +51,10 @@
   unsigned open_handles;    /* libuv handles not yet closed */
   int error_status; /* HTTP status of the error that ended parsing, or 0 */
   bool reading_paused;
-  bool closing; /* no further requests are read */
+  bool memory_full;       /* the rest of the body being read does not fit */
+  int64_t retry_after_ns; /* of the error response; 0: none */
+  size_t response_bytes;  /* counted in the server's memory */
+  bool closing;           /* no further requests are read */
   bool closed;
 };
 
@@ -56,6 +66,7 @@
   /* Bytes of the request after those that were read with its first.  */
   size_t received;
   uint32_t chunk_count;
+  size_t reserved; /* in the server's memory */
   bool complete;
   bool keep_alive;
   bool head_only;
@@ -76,9 +87,44 @@
   return r;
 }
 
+/* Count the responses of C that are not written yet.  */
+static void
+count_responses (struct connection *c)
+{
+  const struct http_memory *m = c->server->memory;
+  size_t bytes = 0;
+  if (m == NULL)
+    return;
+  if (!c->closed)
+    bytes = net_pending_bytes ((uv_stream_t *)&c->tcp);
+  for (GList *l = c->requests.head; l != NULL; l = l->next)
+    {
+      const struct request *r = l->data;
+      bytes += r->response == NULL ? 0 : r->response->len;
+    }
+  m->count (m->arg, (int64_t)bytes - (int64_t)c->response_bytes);
+  c->response_bytes = bytes;
+}
+
+/* Reserve memory for LENGTH more bytes of the body of R.  */
+static bool
+reserve (struct request *r, size_t length)
+{
+  const struct http_memory *m = r->connection->server->memory;
+  if (m == NULL)
+    return true;
+  if (!m->reserve (m->arg, length * m->body_copies))
+    return false;
+  r->reserved += length * m->body_copies;
+  return true;
+}
+
 static void
 request_free (struct request *r)
 {
+  const struct http_memory *m = r->connection->server->memory;
+  if (m != NULL && r->reserved > 0)
+    m->count (m->arg, -(int64_t)r->reserved);
   g_string_free (r->exchange.request_target, TRUE);
   headers_free (r->exchange.headers);
   g_string_free (r->exchange.body, TRUE);
@@ -153,6 +199,14 @@
   if (p->content_length != ULLONG_MAX
       && p->content_length > c->server->limits->body_bytes_max)
     return reject (c, 413);
+  if (p->content_length != ULLONG_MAX
+      && !reserve (c->incoming, p->content_length))
+    {
+      const struct http_memory *m = c->server->memory;
+      c->retry_after_ns
+          = m->retry_after_ns (m->arg, p->content_length * m->body_copies);
+      return reject (c, 503);
+    }
   const char *expect = headers_find (h, "Expect");
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0
       && g_queue_is_empty (&c->requests))
@@ -169,6 +223,13 @@
   if (body->len + length > c->server->limits->body_bytes_max)
     return reject (c, 413);
   g_string_append_len (body, at, (gssize)length);
+  if ((p->flags & F_CHUNKED) != 0 && !reserve (c->incoming, length))
+    {
+      const struct http_memory *m = c->server->memory;
+      m->count (m->arg, (int64_t)(length * m->body_copies));
+      c->incoming->reserved += length * m->body_copies;
+      c->memory_full = true;
+    }
   return 0;
 }
 
@@ -269,8 +330,14 @@
   GString *out = g_string_new (NULL);
   g_string_printf (out,
                    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
-                   "Connection: close\r\n\r\n",
+                   "Connection: close\r\n",
                    c->error_status, reason_phrase (c->error_status));
+  /* With jitter, so that refused callers do not return together.  */
+  if (c->retry_after_ns > 0)
+    g_string_append_printf (out, "Retry-After: %.2f\r\n",
+                            (double)c->retry_after_ns / NS_PER_SECOND
+                                * (1 + g_random_double ()));
+  g_string_append (out, "\r\n");
   c->error_status = 0;
   net_send ((uv_stream_t *)&c->tcp, out);
   shutdown_connection (c);
@@ -281,6 +348,7 @@
 static void
 on_written (uv_stream_t *stream)
 {
+  count_responses (stream->data);
   resume_reading (stream->data);
 }
 
@@ -323,6 +391,7 @@
                                  length);
   r->exchange.on_disconnect = NULL;
   flush_responses (c);
+  count_responses (c);
 }
 
 /* Connections.  */
@@ -360,6 +429,7 @@
   c->closed = true;
   g_queue_unlink (&c->server->connections, &c->server_link);
   abandon_requests (c);
+  count_responses (c);
   uv_close ((uv_handle_t *)&c->tcp, on_handle_closed);
   uv_close ((uv_handle_t *)&c->timer, on_handle_closed);
 }
@@ -493,6 +563,36 @@
     flush_responses (c);
 }
 
+/* Resume the reading of bodies that waited for memory, if there is some.  */
+static void
+on_memory_timer (uv_timer_t *timer)
+{
+  struct http_server *s = timer->data;
+  GList *next;
+  for (GList *l = s->connections.head; l != NULL; l = next)
+    {
+      struct connection *c = l->data;
+      next = l->next;
+      if (!c->memory_full)
+        continue;
+      if (c->incoming != NULL && !s->memory->reserve (s->memory->arg, 1))
+        return;
+      if (c->incoming != NULL)
+        s->memory->count (s->memory->arg, -1);
+      c->memory_full = false;
+      resume_reading (c);
+    }
+  uv_timer_stop (timer);
+}
+
+static void
+start_memory_timer (struct http_server *s)
+{
+  if (!uv_is_active ((uv_handle_t *)&s->memory_timer))
+    uv_timer_start (&s->memory_timer, on_memory_timer, MEMORY_RETRY_MS,
+                    MEMORY_RETRY_MS);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -506,14 +606,16 @@
     return;
   parse (c, buffer->base, (size_t)length);
   if (!c->closed && !c->reading_paused
-      && net_pending_bytes (stream) > UNREAD_BYTES_MAX)
+      && (c->memory_full || net_pending_bytes (stream) > UNREAD_BYTES_MAX))
     pause_reading (c, NULL, 0);
+  if (c->memory_full)
+    start_memory_timer (c->server);
 }
 
 static void
 resume_reading (struct connection *c)
 {
-  if (c->closed || !c->reading_paused
+  if (c->closed || !c->reading_paused || c->memory_full
       || g_queue_get_length (&c->requests) > PIPELINE_MAX / 2
       || net_pending_bytes ((uv_stream_t *)&c->tcp) > UNREAD_BYTES_MAX)
     return;
@@ -573,9 +675,18 @@
       return NULL;
     }
   s->listener.data = s;
+  uv_timer_init (loop, &s->memory_timer);
+  s->memory_timer.data = s;
   return s;
 }
 
+void
+http_server_set_memory (struct http_server *s,
+                        const struct http_memory *memory)
+{
+  s->memory = memory;
+}
+
 void
 http_server_drain (struct http_server *s)
 {
@@ -596,11 +707,18 @@
 }
 
 static void
-on_listener_closed (uv_handle_t *handle)
+on_memory_timer_closed (uv_handle_t *handle)
 {
   g_free (handle->data);
 }
 
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  struct http_server *s = handle->data;
+  uv_close ((uv_handle_t *)&s->memory_timer, on_memory_timer_closed);
+}
+
 void
 http_server_close (struct http_server *s)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -9,6 +9,7 @@
 
 #include "base/status.h"
 #include "http/headers.h"
+#include "http/memory.h"
 #include "settings/settings.h"
 #include <glib.h>
 #include <stdbool.h>
@@ -52,6 +53,13 @@
                                      const struct http_limits *limits,
                                      http_handler_fn *handler, void *arg);
 
+/* Account for bodies and responses with MEMORY, which must outlive the server.
+   A body of a known length that does not fit is refused with 503 before it is
+   read; while one in chunks does not fit, its reading is paused.  Responses
+   are counted and always sent.  */
+void http_server_set_memory (struct http_server *server,
+                             const struct http_memory *memory);
+
 /* Respond to EXCHANGE with STATUS, HEADER_LINES (may be NULL) and BODY.  The
    exchange must not be used afterwards.  */
 void http_respond (struct http_server_exchange *exchange, int status,
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -438,7 +438,11 @@
   record_usage (g, r, now_ns);
   if (r->key != ATTEMPT_NO_KEY)
     g->hooks.key_request_started (g->hooks.arg, r->key);
-  job->call = http_call (g->client, write_message (job, left_ms), &options);
+  GString *message = write_message (job, left_ms);
+  /* The message is the only copy from here on.  */
+  g_string_free (r->body, TRUE);
+  r->body = g_string_new (NULL);
+  job->call = http_call (g->client, message, &options);
 }
 
 static void
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -55,6 +55,14 @@
   msgpack_pack_uint64 (&w->packer, value);
 }
 
+/* First bytes of MessagePack arrays.  */
+enum
+{
+  MSGPACK_FIXARRAY = 0x90,
+  MSGPACK_FIXARRAY_MASK = 0xf0,
+  MSGPACK_ARRAY16 = 0xdc
+};
+
 enum
 {
   NODE_ITEMS = 6,
@@ -537,3 +545,27 @@
   attempt_request_clear (&f->request);
   return status_set (STATUS_INVALID, "malformed frame of %zu bytes", length);
 }
+
+bool
+frame_peek_request (const char *data, size_t length, uint64_t *call_id)
+{
+  const unsigned char *p = (const unsigned char *)data;
+  size_t at = 1;
+  if (length < FRAME_PEEK_BYTES)
+    return false;
+  if (p[0] == MSGPACK_ARRAY16)
+    at += 2;
+  else if ((p[0] & MSGPACK_FIXARRAY_MASK) != MSGPACK_FIXARRAY)
+    return false;
+  if (p[at++] != FRAME_REQUEST)
+    return false;
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init (&unpacked);
+  bool valid = msgpack_unpack_next (&unpacked, data, length, &at)
+                   == MSGPACK_UNPACK_SUCCESS
+               && unpacked.data.type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+  if (valid)
+    *call_id = unpacked.data.via.u64;
+  msgpack_unpacked_destroy (&unpacked);
+  return valid;
+}
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -19,7 +19,9 @@
   FRAME_HEADER_BYTES = 4,
   /* A longer frame is rejected as malformed.  Must hold the longest body that
      callers may send.  */
-  FRAME_BYTES_MAX = 72 << 20
+  FRAME_BYTES_MAX = 72 << 20,
+  /* The first bytes of a frame, which tell whether it is a request.  */
+  FRAME_PEEK_BYTES = 16
 };
 
 enum frame_kind
@@ -115,4 +117,8 @@
    malformed.  The caller then owns the head and body of a REQUEST.  */
 enum status frame_parse (const char *data, size_t length, struct frame *f);
 
+/* Whether the frame whose first LENGTH bytes are DATA is a request; *CALL_ID
+   is its id.  */
+bool frame_peek_request (const char *data, size_t length, uint64_t *call_id);
+
 #endif
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "limit/memory.h"
 #include "mesh/balance.h"
 #include "mesh/directory.h"
 #include "mesh/egress.h"
@@ -20,13 +21,18 @@
 #include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 enum
 {
-  INBOX_ITEMS = 512
+  INBOX_ITEMS = 512,
+  /* A body is held by the request, for another attempt, and by the message or
+     frame that is being sent.  */
+  BODY_COPIES = 2,
+  MAPPED_BYTES = 64 * 1024
 };
 
 /* Interval of load samples for the placement of keys.  */
@@ -101,8 +107,61 @@
                                   from a node */
   int64_t stopping_ns;         /* when the node began to stop; 0: it runs */
   bool was_ready;
+  struct memory memory;
+  struct http_memory http_memory; /* hooks to MEMORY */
+  int64_t memory_full_logged_ns;  /* 0: never */
 };
 
+/* Memory.  */
+
+static bool
+reserve_memory (void *arg, size_t bytes)
+{
+  struct mesh *m = arg;
+  int64_t now_ns = clock_now_ns ();
+  if (memory_reserve (&m->memory, bytes))
+    return true;
+  counter_add (COUNTER_memory_refusals_total, 1);
+  if (m->memory_full_logged_ns == 0
+      || now_ns - m->memory_full_logged_ns >= NS_PER_S)
+    {
+      m->memory_full_logged_ns = now_ns;
+      log_event (EV_MEMORY_FULL, "bytes=%zu used=%" PRIu64 " limit=%" PRIu64,
+                 bytes, m->memory.used, m->memory.limit);
+    }
+  return false;
+}
+
+static void
+count_memory (void *arg, int64_t bytes)
+{
+  struct mesh *m = arg;
+  if (bytes >= 0)
+    memory_add (&m->memory, (size_t)bytes);
+  else
+    memory_release (&m->memory, (size_t)-bytes, clock_now_ns ());
+}
+
+static int64_t
+memory_retry_after (void *arg, size_t bytes)
+{
+  const struct mesh *m = arg;
+  return memory_retry_after_ns (&m->memory, bytes, clock_now_ns ());
+}
+
+/* Large blocks are mapped one by one, so that their memory returns to the
+   system when they are freed; otherwise the allocator raises this size with
+   the first block that is freed.  */
+static void
+init_memory (struct mesh *m)
+{
+  memory_init (&m->memory, m->settings->memory_mb);
+  m->http_memory = (struct http_memory){ m, BODY_COPIES, reserve_memory,
+                                         count_memory, memory_retry_after };
+  if (m->memory.limit != 0)
+    mallopt (M_MMAP_THRESHOLD, MAPPED_BYTES);
+}
+
 /* State reported to other nodes.  */
 
 static bool
@@ -641,6 +700,7 @@
     .on_document = on_document,
     .on_state = on_state,
     .on_handover = on_handover,
+    .memory = m->memory.limit == 0 ? NULL : &m->http_memory,
   };
   m->egress = egress_open (&m->loop, m->dialect, s, &egress_hooks);
   m->owners = owners_new ();
@@ -680,6 +740,11 @@
                                   on_operator_call, m);
   if (m->callers == NULL || m->operator_ == NULL)
     return STATUS_SYSTEM;
+  if (m->memory.limit != 0)
+    {
+      http_server_set_memory (m->callers, &m->http_memory);
+      http_client_set_memory (egress_http_client (m->egress), &m->http_memory);
+    }
   if (s->ready.port != 0)
     m->ready
         = http_server_new (&m->loop, &s->ready, &limits, on_ready_call, m);
@@ -748,6 +813,7 @@
     log_event (EV_BOUNDS_UNREAD, "cause=\"%s\"", status_message ());
   uv_loop_init (&m.loop);
   fill_self (&m);
+  init_memory (&m);
   m.inbox = inbox_new (inbox_capacity_for (INBOX_ITEMS));
   enum status s = open_modules (&m);
   if (s == STATUS_OK)
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -21,10 +21,16 @@
    region.  */
 #define CONNECT_TIMEOUT_MS 1000
 
+/* Frames of at least this size are counted in the memory's budget; smaller
+   ones are the node's control traffic.  */
+#define COUNTED_FRAME_BYTES 16384
+
 struct link
 {
   uv_tcp_t tcp;
   GByteArray *input;
+  size_t reserved;   /* for the frame that is being read */
+  size_t skip_bytes; /* of a request that did not fit, not yet read */
   struct nodes *nodes;
   struct peer *peer;       /* set if this node dialled */
   struct inbound *inbound; /* set if the other node dialled */
@@ -78,6 +84,7 @@
   struct inbound *inbound;
   uint64_t call_id;
   void *handle;
+  size_t reserved; /* in the budget of memory */
 };
 
 struct nodes
@@ -121,6 +128,10 @@
   if (link->closed)
     return;
   link->closed = true;
+  if (link->reserved > 0)
+    link->nodes->hooks.memory->count (link->nodes->hooks.memory->arg,
+                                      -(int64_t)link->reserved);
+  link->reserved = 0;
   uv_close ((uv_handle_t *)&link->tcp, on_link_closed);
 }
 
@@ -275,12 +286,29 @@
   g_hash_table_remove (in->jobs, &job->call_id);
 }
 
+static void
+release_memory (const struct nodes *p, size_t bytes)
+{
+  if (bytes > 0)
+    p->hooks.memory->count (p->hooks.memory->arg, -(int64_t)bytes);
+}
+
+static void
+inbound_job_free (void *arg)
+{
+  struct inbound_job *job = arg;
+  release_memory (job->inbound->link->nodes, job->reserved);
+  g_free (job);
+}
+
 static void
 start_inbound_job (struct inbound *in, struct frame *f)
 {
   struct nodes *p = in->link->nodes;
   struct inbound_job *job = g_new0 (struct inbound_job, 1);
   job->inbound = in;
+  job->reserved = in->link->reserved;
+  in->link->reserved = 0;
   job->call_id = f->call_id;
   counter_add (COUNTER_requests_from_peers_total, 1);
   g_hash_table_replace (in->jobs, &job->call_id, job);
@@ -401,10 +429,68 @@
   return true;
 }
 
+/* Reserve memory for the frame of LENGTH bytes that begins with the SIZE bytes
+   at DATA.  A request that does not fit is refused before it is read; other
+   frames are counted.  False if the frame is to be skipped.  */
+static bool
+reserve_frame (struct link *link, const char *data, size_t size,
+               uint32_t length)
+{
+  struct nodes *p = link->nodes;
+  const struct http_memory *m = p->hooks.memory;
+  uint64_t call_id;
+  if (m == NULL || length < COUNTED_FRAME_BYTES || link->reserved > 0)
+    return true;
+  size_t bytes = (size_t)length * m->body_copies;
+  /* Results that are ready are always delivered.  */
+  bool fits = link->inbound != NULL && m->reserve (m->arg, bytes);
+  if (!fits && link->inbound != NULL
+      && frame_peek_request (data, size, &call_id))
+    {
+      struct frame_state state;
+      struct attempt_result result = attempt_not_run (
+          REASON_MEMORY_FULL, m->retry_after_ns (m->arg, bytes));
+      p->hooks.fill_state (p->hooks.arg, &state);
+      link_send (link, frame_result (call_id, &result, &state));
+      return false;
+    }
+  if (!fits)
+    m->count (m->arg, (int64_t)bytes);
+  link->reserved = bytes;
+  return true;
+}
+
+/* Drop from the input of LINK what belongs to a skipped frame.  */
+static void
+skip_input (struct link *link)
+{
+  size_t bytes = MIN (link->skip_bytes, link->input->len);
+  if (bytes > 0)
+    g_byte_array_remove_range (link->input, 0, (guint)bytes);
+  link->skip_bytes -= bytes;
+}
+
+/* Remove the USED bytes that were processed.  A large buffer is not kept.  */
+static void
+consume_input (struct link *link, size_t used)
+{
+  GByteArray *input = link->input;
+  if (used < COUNTED_FRAME_BYTES)
+    {
+      g_byte_array_remove_range (input, 0, (guint)used);
+      return;
+    }
+  link->input = g_byte_array_new ();
+  g_byte_array_append (link->input, input->data + used,
+                       input->len - (guint)used);
+  g_byte_array_free (input, TRUE);
+}
+
 static void
 process_input (struct link *link)
 {
   size_t used = 0;
+  skip_input (link);
   while (!link->closed && link->input->len - used >= FRAME_HEADER_BYTES)
     {
       uint32_t length;
@@ -415,19 +501,30 @@
           on_link_lost (link, "malformed");
           return;
         }
-      if (link->input->len - used - FRAME_HEADER_BYTES < length)
-        break;
       const char *data
           = (const char *)link->input->data + used + FRAME_HEADER_BYTES;
+      size_t size = link->input->len - used - FRAME_HEADER_BYTES;
+      if (size < MIN (length, FRAME_PEEK_BYTES))
+        break;
+      if (!reserve_frame (link, data, size, length))
+        {
+          used += FRAME_HEADER_BYTES + MIN (size, length);
+          link->skip_bytes = length - MIN (size, length);
+          continue;
+        }
+      if (size < length)
+        break;
       used += FRAME_HEADER_BYTES + length;
       if (!process_frame (link, data, length))
         {
           on_link_lost (link, "malformed");
           return;
         }
+      release_memory (link->nodes, link->reserved);
+      link->reserved = 0;
     }
   if (!link->closed && used > 0)
-    g_byte_array_remove_range (link->input, 0, (guint)used);
+    consume_input (link, used);
 }
 
 static void
@@ -528,7 +625,8 @@
   struct inbound *in = g_new0 (struct inbound, 1);
   in->link = link;
   in->list_link.data = in;
-  in->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  in->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                    inbound_job_free);
   link->inbound = in;
   g_queue_push_tail_link (&p->inbounds, &in->list_link);
   net_set_options (&link->tcp, silence_timeout_ms (p));
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -7,6 +7,7 @@
 #ifndef MESH_NODES_H
 #define MESH_NODES_H
 
+#include "http/memory.h"
 #include "mesh/attempt.h"
 #include "mesh/frame.h"
 #include <uv.h>
@@ -45,6 +46,8 @@
   void (*on_state) (void *arg, const struct frame_node *node,
                     const struct frame_state *state);
   void (*on_handover) (void *arg, const struct frame_handover *handover);
+  /* The budget of memory for requests of other nodes; NULL: not limited.  */
+  const struct http_memory *memory;
 };
 
 /* Listen on SELF's address.  NULL with a message if that fails.  */
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -562,8 +562,9 @@
                           deps->dialect->headers[HEADER_CALLER],
                           deps->settings->service);
   p->request.head = head;
-  p->request.body = g_string_new_len (p->exchange->body->str,
-                                      (gssize)p->exchange->body->len);
+  /* The exchange does not need its body any more.  */
+  p->request.body = p->exchange->body;
+  p->exchange->body = g_string_new (NULL);
 }
 
 static bool
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,6 +40,7 @@
   char rack[SETTINGS_NAME_BYTES]; /* may be empty */
   char service[SETTINGS_NAME_BYTES];
   char bounds[SETTINGS_TEXT_BYTES]; /* may be empty */
+  uint32_t memory_mb;               /* 0: not limited */
   /* listen */
   struct settings_address callers;
   struct settings_address peers; /* TCP for requests, UDP for leases */
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -21,6 +21,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "lib/script.h"
+#include "limit/memory.h"
 
 enum
 {
@@ -139,11 +140,36 @@
   struct settings_address address;
   struct http_server_exchange *exchanges[EXCHANGES_MAX];
   int request_count;
+  struct memory memory;
+  struct http_memory http_memory;
   GPtrArray *held; /* requests of a pipeline; NULL: requests are printed */
   FILE *out;
   int fd;
 };
 
+static bool
+reserve (void *arg, size_t bytes)
+{
+  return memory_reserve (&((struct server_test *)arg)->memory, bytes);
+}
+
+static void
+count_bytes (void *arg, int64_t bytes)
+{
+  struct memory *memory = &((struct server_test *)arg)->memory;
+  if (bytes > 0)
+    memory_add (memory, (size_t)bytes);
+  else
+    memory_release (memory, (size_t)-bytes, 1);
+}
+
+static int64_t
+retry_after (void *arg, size_t bytes)
+{
+  return memory_retry_after_ns (&((struct server_test *)arg)->memory, bytes,
+                                1);
+}
+
 static void
 record_disconnect (struct http_server_exchange *exchange)
 {
@@ -254,6 +280,14 @@
     }
   else if (strcmp (words[0], "flood") == 0)
     flood (&test->loop, test->fd, words);
+  else if (strcmp (words[0], "memory") == 0)
+    test->memory.limit = (uint64_t)script_word_number (words[1]);
+  else if (strcmp (words[0], "hold") == 0)
+    count_bytes (test, script_word_number (words[1]));
+  else if (strcmp (words[0], "free") == 0)
+    count_bytes (test, -script_word_number (words[1]));
+  else if (strcmp (words[0], "used") == 0)
+    fprintf (out, "%d bytes\n", (int)test->memory.used);
   else if (strcmp (words[0], "limit-head") == 0)
     test->limits.header_bytes_max = (uint32_t)script_word_number (words[1]);
   else if (strcmp (words[0], "pipeline") == 0)
@@ -288,6 +322,10 @@
   test.server = http_server_new (&test.loop, &test.address, &test.limits,
                                  record_request, &test);
   assert_non_null (test.server);
+  g_random_set_seed (1);
+  test.http_memory
+      = (struct http_memory){ &test, 2, reserve, count_bytes, retry_after };
+  http_server_set_memory (test.server, &test.http_memory);
   assert_int_equal (
       script_run ("test/http/server.txt", run_server_command, &test), 0);
   if (test.fd != FD_NONE)
