--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "http/bounds.h"
 #include "http/net.h"
 #include "http/reason_phrase.h"
 #include <http_parser.h>
@@ -9,12 +10,19 @@
 {
   /* Requests of one connection in progress at which reading is paused.  */
   PIPELINE_MAX = 64,
-  HEADERS_MAX = 200, /* header fields of one request */
+  /* Bytes of responses that the caller has not read at which reading is
+     paused: what the kernel's buffers of a connection hold.  */
+  UNREAD_BYTES_MAX = 256 * 1024,
   /* How long a caller may take to close the connection after the last
      response.  */
-  LINGER_TIMEOUT_MS = 1000
+  LINGER_TIMEOUT_MS = 1000,
+  /* Interval at which a body that did not fit into the memory is tried
+     again: short beside the time that a body takes to arrive.  */
+  MEMORY_RETRY_MS = 20
 };
 
+#define NS_PER_SECOND 1e9
+
 struct http_server
 {
   uv_tcp_t listener;
@@ -23,6 +31,8 @@
   http_handler_fn *handler;
   void *arg;
   GQueue connections;
+  const struct http_memory *memory; /* may be NULL */
+  uv_timer_t memory_timer;          /* active while a body waits for memory */
   bool draining;
 };
 
@@ -37,10 +47,14 @@
   GList server_link;
   GQueue requests;          /* complete requests, in order of arrival */
   struct request *incoming; /* the request being read, or NULL */
+  GByteArray *unparsed;     /* read and not parsed while reading is paused */
   unsigned open_handles;    /* libuv handles not yet closed */
   int error_status; /* HTTP status of the error that ended parsing, or 0 */
   bool reading_paused;
-  bool closing; /* no further requests are read */
+  bool memory_full;       /* the rest of the body being read does not fit */
+  int64_t retry_after_ns; /* of the error response; 0: none */
+  size_t response_bytes;  /* counted in the server's memory */
+  bool closing;           /* no further requests are read */
   bool closed;
 };
 
@@ -49,7 +63,10 @@
   struct http_server_exchange exchange;
   struct connection *connection;
   GString *response; /* NULL until the handler responds */
-  unsigned field_count;
+  /* Bytes of the request after those that were read with its first.  */
+  size_t received;
+  uint32_t chunk_count;
+  size_t reserved; /* in the server's memory */
   bool complete;
   bool keep_alive;
   bool head_only;
@@ -70,9 +87,44 @@
   return r;
 }
 
+/* Count the responses of C that are not written yet.  */
+static void
+count_responses (struct connection *c)
+{
+  const struct http_memory *m = c->server->memory;
+  size_t bytes = 0;
+  if (m == NULL)
+    return;
+  if (!c->closed)
+    bytes = net_pending_bytes ((uv_stream_t *)&c->tcp);
+  for (GList *l = c->requests.head; l != NULL; l = l->next)
+    {
+      const struct request *r = l->data;
+      bytes += r->response == NULL ? 0 : r->response->len;
+    }
+  m->count (m->arg, (int64_t)bytes - (int64_t)c->response_bytes);
+  c->response_bytes = bytes;
+}
+
+/* Reserve memory for LENGTH more bytes of the body of R.  */
+static bool
+reserve (struct request *r, size_t length)
+{
+  const struct http_memory *m = r->connection->server->memory;
+  if (m == NULL)
+    return true;
+  if (!m->reserve (m->arg, length * m->body_copies))
+    return false;
+  r->reserved += length * m->body_copies;
+  return true;
+}
+
 static void
 request_free (struct request *r)
 {
+  const struct http_memory *m = r->connection->server->memory;
+  if (m != NULL && r->reserved > 0)
+    m->count (m->arg, -(int64_t)r->reserved);
   g_string_free (r->exchange.request_target, TRUE);
   headers_free (r->exchange.headers);
   g_string_free (r->exchange.body, TRUE);
@@ -116,9 +168,10 @@
 static int
 on_field (http_parser *p, const char *at, size_t length)
 {
-  headers_append_name (parser_connection (p)->incoming->exchange.headers, at,
-                       length);
-  return 0;
+  struct connection *c = parser_connection (p);
+  struct headers *h = c->incoming->exchange.headers;
+  headers_append_name (h, at, length);
+  return headers_field_count (h) > HTTP_FIELDS_MAX ? reject (c, 431) : 0;
 }
 
 static int
@@ -146,6 +199,14 @@
   if (p->content_length != ULLONG_MAX
       && p->content_length > c->server->limits->body_bytes_max)
     return reject (c, 413);
+  if (p->content_length != ULLONG_MAX
+      && !reserve (c->incoming, p->content_length))
+    {
+      const struct http_memory *m = c->server->memory;
+      c->retry_after_ns
+          = m->retry_after_ns (m->arg, p->content_length * m->body_copies);
+      return reject (c, 503);
+    }
   const char *expect = headers_find (h, "Expect");
   if (expect != NULL && g_ascii_strcasecmp (expect, "100-continue") == 0
       && g_queue_is_empty (&c->requests))
@@ -162,6 +223,20 @@
   if (body->len + length > c->server->limits->body_bytes_max)
     return reject (c, 413);
   g_string_append_len (body, at, (gssize)length);
+  if ((p->flags & F_CHUNKED) != 0 && !reserve (c->incoming, length))
+    {
+      const struct http_memory *m = c->server->memory;
+      m->count (m->arg, (int64_t)(length * m->body_copies));
+      c->incoming->reserved += length * m->body_copies;
+      c->memory_full = true;
+    }
+  return 0;
+}
+
+static int
+on_chunk (http_parser *p)
+{
+  parser_connection (p)->incoming->chunk_count++;
   return 0;
 }
 
@@ -178,6 +253,8 @@
   c->incoming = NULL;
   if (!r->keep_alive)
     c->closing = true;
+  else if (g_queue_get_length (&c->requests) >= PIPELINE_MAX)
+    http_parser_pause (p, 1);
   /* The handler is called after the parser has returned, because it may close
      the connection.  */
   return 0;
@@ -191,6 +268,7 @@
   .on_headers_complete = on_headers,
   .on_body = on_body,
   .on_message_complete = on_complete,
+  .on_chunk_header = on_chunk,
 };
 
 /* Responses.  */
@@ -252,8 +330,14 @@
   GString *out = g_string_new (NULL);
   g_string_printf (out,
                    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
-                   "Connection: close\r\n\r\n",
+                   "Connection: close\r\n",
                    c->error_status, reason_phrase (c->error_status));
+  /* With jitter, so that refused callers do not return together.  */
+  if (c->retry_after_ns > 0)
+    g_string_append_printf (out, "Retry-After: %.2f\r\n",
+                            (double)c->retry_after_ns / NS_PER_SECOND
+                                * (1 + g_random_double ()));
+  g_string_append (out, "\r\n");
   c->error_status = 0;
   net_send ((uv_stream_t *)&c->tcp, out);
   shutdown_connection (c);
@@ -261,6 +345,13 @@
 
 static void resume_reading (struct connection *c);
 
+static void
+on_written (uv_stream_t *stream)
+{
+  count_responses (stream->data);
+  resume_reading (stream->data);
+}
+
 /* Send the available responses that are next in order.  */
 static void
 flush_responses (struct connection *c)
@@ -274,7 +365,7 @@
       GString *out = r->response;
       r->response = NULL;
       request_free (r);
-      net_send ((uv_stream_t *)&c->tcp, out);
+      net_send_notify ((uv_stream_t *)&c->tcp, out, on_written);
       if (last_response)
         {
           shutdown_connection (c);
@@ -300,6 +391,7 @@
                                  length);
   r->exchange.on_disconnect = NULL;
   flush_responses (c);
+  count_responses (c);
 }
 
 /* Connections.  */
@@ -308,8 +400,10 @@
 on_handle_closed (uv_handle_t *handle)
 {
   struct connection *c = handle->data;
-  if (--c->open_handles == 0)
-    g_free (c);
+  if (--c->open_handles > 0)
+    return;
+  g_byte_array_free (c->unparsed, TRUE);
+  g_free (c);
 }
 
 static void
@@ -335,6 +429,7 @@
   c->closed = true;
   g_queue_unlink (&c->server->connections, &c->server_link);
   abandon_requests (c);
+  count_responses (c);
   uv_close ((uv_handle_t *)&c->tcp, on_handle_closed);
   uv_close ((uv_handle_t *)&c->timer, on_handle_closed);
 }
@@ -407,13 +502,52 @@
   return error == HPE_HEADER_OVERFLOW ? 431 : 400;
 }
 
+static uint32_t
+head_bytes_max (const struct connection *c)
+{
+  return MIN (c->server->limits->header_bytes_max,
+              (uint32_t)HTTP_HEAD_BYTES_MAX);
+}
+
+/* Reject the request that is being read, and was before LENGTH bytes, if its
+   bytes other than the body exceed the bound of a head.  The parser bounds its
+   head and each chunk extension, but not their sum.  */
+static void
+check_head (struct connection *c, size_t length)
+{
+  struct request *r = c->incoming;
+  r->received += length;
+  if (r->received > head_bytes_max (c) + r->exchange.body->len
+                        + (size_t)r->chunk_count * HTTP_CHUNK_FRAME_BYTES)
+    reject (c, 431);
+}
+
+/* Pause reading; parse the LENGTH bytes of DATA when it is resumed.  */
+static void
+pause_reading (struct connection *c, const char *data, size_t length)
+{
+  g_byte_array_append (c->unparsed, (const guint8 *)data, (guint)length);
+  c->reading_paused = true;
+  uv_read_stop ((uv_stream_t *)&c->tcp);
+}
+
 static void
 parse (struct connection *c, const char *data, size_t length)
 {
-  bool had_incoming = c->incoming != NULL;
-  http_parser_set_max_header_size (c->server->limits->header_bytes_max);
+  const struct request *before = c->incoming;
+  bool had_incoming = before != NULL;
+  http_parser_set_max_header_size (head_bytes_max (c));
   size_t parsed = http_parser_execute (&c->parser, &callbacks, data, length);
-  if ((parsed != length || HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+  if (HTTP_PARSER_ERRNO (&c->parser) == HPE_PAUSED)
+    {
+      http_parser_pause (&c->parser, 0);
+      pause_reading (c, data + parsed, length - parsed);
+      parsed = length;
+    }
+  if (had_incoming && c->incoming == before)
+    check_head (c, length);
+  if ((parsed != length || HTTP_PARSER_ERRNO (&c->parser) != HPE_OK
+       || c->error_status != 0)
       && !c->closing)
     {
       c->error_status = status_of_parse_error (c);
@@ -429,6 +563,36 @@
     flush_responses (c);
 }
 
+/* Resume the reading of bodies that waited for memory, if there is some.  */
+static void
+on_memory_timer (uv_timer_t *timer)
+{
+  struct http_server *s = timer->data;
+  GList *next;
+  for (GList *l = s->connections.head; l != NULL; l = next)
+    {
+      struct connection *c = l->data;
+      next = l->next;
+      if (!c->memory_full)
+        continue;
+      if (c->incoming != NULL && !s->memory->reserve (s->memory->arg, 1))
+        return;
+      if (c->incoming != NULL)
+        s->memory->count (s->memory->arg, -1);
+      c->memory_full = false;
+      resume_reading (c);
+    }
+  uv_timer_stop (timer);
+}
+
+static void
+start_memory_timer (struct http_server *s)
+{
+  if (!uv_is_active ((uv_handle_t *)&s->memory_timer))
+    uv_timer_start (&s->memory_timer, on_memory_timer, MEMORY_RETRY_MS,
+                    MEMORY_RETRY_MS);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -442,21 +606,27 @@
     return;
   parse (c, buffer->base, (size_t)length);
   if (!c->closed && !c->reading_paused
-      && g_queue_get_length (&c->requests) >= PIPELINE_MAX)
-    {
-      c->reading_paused = true;
-      uv_read_stop (stream);
-    }
+      && (c->memory_full || net_pending_bytes (stream) > UNREAD_BYTES_MAX))
+    pause_reading (c, NULL, 0);
+  if (c->memory_full)
+    start_memory_timer (c->server);
 }
 
 static void
 resume_reading (struct connection *c)
 {
-  if (!c->reading_paused
-      || g_queue_get_length (&c->requests) > PIPELINE_MAX / 2)
+  if (c->closed || !c->reading_paused || c->memory_full
+      || g_queue_get_length (&c->requests) > PIPELINE_MAX / 2
+      || net_pending_bytes ((uv_stream_t *)&c->tcp) > UNREAD_BYTES_MAX)
     return;
   c->reading_paused = false;
   uv_read_start ((uv_stream_t *)&c->tcp, net_alloc_buffer, on_read);
+  if (c->unparsed->len == 0 || c->closing)
+    return;
+  GByteArray *data = c->unparsed;
+  c->unparsed = g_byte_array_new ();
+  parse (c, (const char *)data->data, data->len);
+  g_byte_array_free (data, TRUE);
 }
 
 static void
@@ -469,6 +639,7 @@
   c->server = s;
   c->server_link.data = c;
   c->open_handles = 2;
+  c->unparsed = g_byte_array_new ();
   uv_tcp_init (s->loop, &c->tcp);
   uv_timer_init (s->loop, &c->timer);
   c->tcp.data = c;
@@ -504,9 +675,18 @@
       return NULL;
     }
   s->listener.data = s;
+  uv_timer_init (loop, &s->memory_timer);
+  s->memory_timer.data = s;
   return s;
 }
 
+void
+http_server_set_memory (struct http_server *s,
+                        const struct http_memory *memory)
+{
+  s->memory = memory;
+}
+
 void
 http_server_drain (struct http_server *s)
 {
@@ -527,11 +707,18 @@
 }
 
 static void
-on_listener_closed (uv_handle_t *handle)
+on_memory_timer_closed (uv_handle_t *handle)
 {
   g_free (handle->data);
 }
 
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  struct http_server *s = handle->data;
+  uv_close ((uv_handle_t *)&s->memory_timer, on_memory_timer_closed);
+}
+
 void
 http_server_close (struct http_server *s)
 {
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -27,6 +27,8 @@
 #define CLOSED_RETRY_AFTER_NS (300 * NS_PER_MS)
 /* Interval of the log lines that tell how a target's limit is used.  */
 #define USAGE_INTERVAL_NS (1 * NS_PER_S)
+/* Interval of the log lines on responses that exceed their bounds.  */
+#define UNBOUNDED_INTERVAL_NS (1 * NS_PER_S)
 
 /* Load of a cold target for the placement of keys: as a full one, so that it
    gets no keys while others are warm.  */
@@ -55,6 +57,7 @@
                              known */
   bool has_policy;
   bool was_cold; /* as last told by the hook */
+  int64_t unbounded_logged_ns; /* 0: never */
 };
 
 struct egress_job
@@ -342,6 +345,8 @@
 {
   if (response->result == HTTP_TIMED_OUT)
     return attempt_unknown (REASON_DEADLINE);
+  if (response->unbounded)
+    return attempt_unknown (REASON_ANSWER_TOO_LARGE);
   if (response->result == HTTP_FAILED)
     return attempt_unknown (REASON_TARGET_CLOSED);
   if (strcmp (response->cause, "refused") == 0)
@@ -505,7 +510,11 @@
   record_usage (g, r, now_ns);
   if (r->key != ATTEMPT_NO_KEY)
     g->hooks.key_request_started (g->hooks.arg, r->key);
-  job->call = http_call (g->client, write_message (job, left_ms), &options);
+  GString *message = write_message (job, left_ms);
+  /* The message is the only copy from here on.  */
+  g_string_free (r->body, TRUE);
+  r->body = g_string_new (NULL);
+  job->call = http_call (g->client, message, &options);
 }
 
 static void
@@ -544,6 +553,20 @@
   arm_queue_timer (g, now_ns);
 }
 
+static void
+on_unbounded (void *arg, const char *cause, size_t bytes)
+{
+  struct egress *g = arg;
+  int64_t now_ns = clock_now_ns ();
+  counter_add (COUNTER_answers_unbounded_total, 1);
+  if (g->unbounded_logged_ns != 0
+      && now_ns - g->unbounded_logged_ns < UNBOUNDED_INTERVAL_NS)
+    return;
+  g->unbounded_logged_ns = now_ns;
+  log_event (EV_ANSWER_UNBOUNDED, "target=%s bound=%s bytes=%zu running=%u",
+             g->view.id, cause, bytes, lineup_running (g->lineup));
+}
+
 struct egress *
 egress_open (uv_loop_t *loop, const struct dialect *dialect,
              const struct settings *settings, const struct egress_hooks *hooks)
@@ -555,6 +578,7 @@
   g->shutdown_ns = INT64_MAX;
   g->client = http_client_new (loop, &settings->target,
                                settings->target_slots + SPARE_CONNECTIONS);
+  http_client_on_unbounded (g->client, on_unbounded, g);
   g->lineup = lineup_new (settings->target_slots);
   g->cold_needs_policy = settings->cold_needs_policy;
   cold_assume_used (lineup_cold (g->lineup), clock_now_ns ());
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -8,6 +8,7 @@
 #define MESH_NODES_H
 
 #include "limit/lineup.h"
+#include "http/memory.h"
 #include "mesh/attempt.h"
 #include "mesh/frame.h"
 #include <uv.h>
@@ -53,6 +54,8 @@
   void (*on_state) (void *arg, const struct frame_node *node,
                     const struct frame_state *state);
   void (*on_handover) (void *arg, const struct frame_handover *handover);
+  /* The budget of memory for requests of other nodes; NULL: not limited.  */
+  const struct http_memory *memory;
 };
 
 /* Listen on SELF's address.  LINK_KBPS: rate of this node's link; 0: not
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -42,6 +42,7 @@
   char bounds[SETTINGS_TEXT_BYTES]; /* may be empty */
   uint32_t link_kbps;               /* 0: not stated */
   uint32_t cpu_share_thousandths;   /* of a core; 0: not stated */
+  uint32_t memory_mb;               /* 0: not limited */
   /* listen */
   struct settings_address callers;
   struct settings_address peers; /* TCP for requests, UDP for leases */
