Bound how late a node may learn of an evacuation

A zone that the store reports as new now counts as known since the node last heard that its set was current.

The property test runs nodes in virtual time that are cut off, paused and restarted, with stalled connections and the store down.

--- a/src/mesh/evacuations.c
+++ b/src/mesh/evacuations.c
@@ -113,9 +113,16 @@
   e->stamp.digest = digest_of (e->zones, count);
 }
 
+static void
+record_heard (struct evacuations *e, int64_t at_ns)
+{
+  if (at_ns > e->heard_ns)
+    e->heard_ns = at_ns;
+}
+
 bool
 evacuations_update (struct evacuations *e, const char *const *names,
-                    unsigned count, uint64_t version, int64_t since_ns,
+                    unsigned count, uint64_t version, int64_t asked_ns,
                     int64_t now_ns)
 {
   struct evacuated_zone next[EVACUATIONS_ZONES_MAX];
@@ -124,21 +131,25 @@
   for (unsigned i = 0; i < count; i++)
     {
       g_strlcpy (next[i].name, names[i], sizeof next[i].name);
-      next[i].known_ns = since_ns;
+      next[i].known_ns = e->heard_ns;
     }
   replace (e, next, count, version, now_ns);
+  record_heard (e, asked_ns);
   return true;
 }
 
 bool
-evacuations_wants (struct evacuations *e,
-                   const struct evacuations_stamp *stamp)
+evacuations_on_stamp (struct evacuations *e,
+                      const struct evacuations_stamp *stamp, int64_t sent_ns)
 {
-  if (stamp->version <= e->stamp.version)
-    return false;
-  if (stamp->digest != e->stamp.digest)
+  bool newer = stamp->version > e->stamp.version;
+  /* The set may be outdated, so this confirms nothing.  */
+  if (newer && stamp->digest != e->stamp.digest)
     return true;
-  e->stamp.version = stamp->version;
+  if (newer)
+    e->stamp.version = stamp->version;
+  if (stamp->version != 0)
+    record_heard (e, sent_ns);
   return false;
 }
 
@@ -225,16 +236,10 @@
                              : sent_ns - age_ns;
     }
   replace (e, next, d->count, d->version, now_ns);
+  record_heard (e, sent_ns);
   return true;
 }
 
-void
-evacuations_heard (struct evacuations *e, int64_t at_ns)
-{
-  if (at_ns > e->heard_ns)
-    e->heard_ns = at_ns;
-}
-
 enum evacuations_phase
 evacuations_phase (const struct evacuations *e, const char *zone,
                    int64_t now_ns)
--- a/src/mesh/evacuations.h
+++ b/src/mesh/evacuations.h
@@ -43,8 +43,9 @@
      of the end.  */
   unsigned ended_count;
   struct evacuated_zone ended[EVACUATIONS_ZONES_MAX];
-  bool has_others;  /* other nodes are known */
-  int64_t heard_ns; /* the store or another node sent something then */
+  bool has_others; /* other nodes are known */
+  /* When the store or another node last confirmed the set; 0: never.  */
+  int64_t heard_ns;
 };
 
 /* A set as another node sent it.  Here KNOWN_NS is the age of a zone at
@@ -63,17 +64,19 @@
 /* Whether NAME is valid as the name of a zone.  */
 bool evacuations_is_valid_name (const char *name);
 
-/* The store has exactly the zones NAMES (valid, sorted, at most
-   EVACUATIONS_ZONES_MAX) as of VERSION.  Those that were not known were added
-   after SINCE_NS; 0: at any time.  False if a newer set is known.  */
+/* The store, asked at ASKED_NS, has exactly the zones NAMES (valid, sorted, at
+   most EVACUATIONS_ZONES_MAX) as of VERSION.  Those that are new count as
+   known since this node last heard anything, as it may have been cut off or
+   paused.  False if a newer set is known.  */
 bool evacuations_update (struct evacuations *e, const char *const *names,
-                         unsigned count, uint64_t version, int64_t since_ns,
+                         unsigned count, uint64_t version, int64_t asked_ns,
                          int64_t now_ns);
 
-/* Whether the set of another node, which reports STAMP, must be fetched.  If
-   it is a newer version of an equal set, the version is adopted.  */
-bool evacuations_wants (struct evacuations *e,
-                        const struct evacuations_stamp *stamp);
+/* Another node reported STAMP at SENT_NS on this node's clock.  Return whether
+   its set must be fetched.  A newer version of an equal set is adopted.  */
+bool evacuations_on_stamp (struct evacuations *e,
+                           const struct evacuations_stamp *stamp,
+                           int64_t sent_ns);
 
 /* The set as text for other nodes.  */
 GString *evacuations_format (const struct evacuations *e, int64_t now_ns);
@@ -88,9 +91,6 @@
                         const struct evacuations_document *d, int64_t sent_ns,
                         int64_t now_ns);
 
-/* The store or another node sent something at AT_NS on this node's clock.  */
-void evacuations_heard (struct evacuations *e, int64_t at_ns);
-
 bool evacuations_contains (const struct evacuations *e, const char *zone);
 
 enum evacuations_phase evacuations_phase (const struct evacuations *e,
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -14,10 +14,6 @@
    change must be in force.  */
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 800
-/* A wait that is answered later than this after it was asked for, and before
-   its end, is answered because of a change just made.  One that is answered
-   sooner may report a change that the wait before missed.  */
-#define PROMPT_MIN_NS (100 * NS_PER_MS)
 
 struct watcher
 {
@@ -28,9 +24,6 @@
   GHashTable *zones; /* set of strings: what follows PREFIX */
   struct inbox *inbox;
   int64_t seen_revision; /* latest revision of the store that was seen */
-  int64_t asked_ns;      /* when the last answered wait was asked for, or the
-                            zones were listed; 0: not yet */
-  int64_t answered_ns;   /* when it was answered */
   uint32_t backoff_ms;
   uint32_t healthy;
   pthread_t thread;
@@ -58,9 +51,9 @@
   inbox_put_blocking (w->inbox, update);
 }
 
-/* Report the zones, of which those that are new were added after SINCE_NS.  */
+/* Report the zones, for which the store was asked at ASKED_NS.  */
 static void
-post_zones (struct watcher *w, int64_t since_ns)
+post_zones (struct watcher *w, int64_t asked_ns)
 {
   struct watch_update *update = calloc (1, sizeof *update);
   GHashTableIter iter;
@@ -69,8 +62,7 @@
     abort ();
   update->header.kind = INBOX_MESSAGE_NOTICE;
   update->revision = w->seen_revision;
-  update->since_ns = since_ns;
-  update->asked_ns = w->asked_ns;
+  update->asked_ns = asked_ns;
   update->zones = g_ptr_array_new_with_free_func (g_free);
   g_hash_table_iter_init (&iter, w->zones);
   while (g_hash_table_iter_next (&iter, &name, NULL))
@@ -92,20 +84,14 @@
 }
 
 static void
-on_poll (void *arg, const struct store_poll *poll)
+on_poll (void *arg, int64_t revision, int64_t asked_ns)
 {
   struct watcher *w = arg;
-  int64_t now_ns = clock_now_ns ();
-  bool prompt = !poll->waited && now_ns - poll->started_ns >= PROMPT_MIN_NS
-                && poll->started_ns - w->answered_ns < PROMPT_MIN_NS;
-  int64_t since_ns = prompt ? now_ns : w->asked_ns;
   w->backoff_ms = BACKOFF_MIN_MS;
   ck_pr_store_32 (&w->healthy, 1);
-  if (poll->revision > w->seen_revision)
-    w->seen_revision = poll->revision;
-  w->asked_ns = poll->started_ns;
-  w->answered_ns = now_ns;
-  post_zones (w, since_ns);
+  if (revision > w->seen_revision)
+    w->seen_revision = revision;
+  post_zones (w, asked_ns);
 }
 
 static bool
@@ -172,9 +158,7 @@
   g_hash_table_remove_all (w->zones);
   if (w->store->ops->list (w->store, w->prefix, on_listed, w) != STATUS_OK)
     return false;
-  int64_t since_ns = w->asked_ns;
-  w->asked_ns = asked_ns;
-  post_zones (w, since_ns);
+  post_zones (w, asked_ns);
   return true;
 }
 
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -20,11 +20,10 @@
   char *text;                 /* NULL: the zones are reported */
   size_t length;
   int64_t revision;
-  /* What follows the prefix in its keys, as of REVISION; what is new was
-     written after SINCE_NS, or at any time if that is 0.  */
+  /* What follows the prefix in its keys, as of REVISION; the store was asked
+     at ASKED_NS.  */
   GPtrArray *zones;
-  int64_t since_ns;
-  int64_t asked_ns; /* the store was asked then */
+  int64_t asked_ns;
 };
 
 /* Watch KEY in ST, which the watcher owns, and put every new value into INBOX.
--- a/src/mesh/zone_gate.c
+++ b/src/mesh/zone_gate.c
@@ -193,9 +193,8 @@
         names[count++] = name;
     }
   if (!evacuations_update (&z->set, names, count, (uint64_t)w->revision,
-                           w->since_ns, now_ns))
+                           w->asked_ns, now_ns))
     return;
-  evacuations_heard (&z->set, w->asked_ns);
   apply_set (z, &before, "store", now_ns);
   if (z->set.stamp.digest != before.stamp.digest)
     nodes_broadcast_state (z->deps.nodes);
@@ -208,14 +207,9 @@
   int64_t now_ns = clock_now_ns ();
   if (z->set.close_ns == 0)
     return;
-  if (!evacuations_wants (&z->set, &state->evacuations))
-    {
-      evacuations_heard (
-          &z->set, nodes_sent_ns (z->deps.nodes, node->name, state->clock_ns));
-      return;
-    }
-  /* The set may be outdated, so this does not count as heard.  */
-  if (now_ns < z->fetched_ns + FETCH_INTERVAL_NS)
+  int64_t sent_ns = nodes_sent_ns (z->deps.nodes, node->name, state->clock_ns);
+  if (!evacuations_on_stamp (&z->set, &state->evacuations, sent_ns)
+      || now_ns < z->fetched_ns + FETCH_INTERVAL_NS)
     return;
   z->fetched_ns = now_ns;
   nodes_request_document (z->deps.nodes, &node->address,
@@ -241,7 +235,6 @@
       = nodes_sent_ns (z->deps.nodes, node->name, document.clock_ns);
   if (!evacuations_merge (&z->set, &document, sent_ns, now_ns))
     return;
-  evacuations_heard (&z->set, sent_ns);
   apply_set (z, &before, node->name, now_ns);
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -75,22 +75,15 @@
   void (*free) (struct store *st);
 };
 
-/* One answered wait of a watch.  */
-struct store_poll
-{
-  int64_t revision;   /* all changes up to it were delivered */
-  int64_t started_ns; /* when the wait was asked for */
-  bool waited;        /* the answer came only when the wait had ended */
-};
-
 /* The first member of every store.  A store is used by one thread at a time;
    each thread that calls the platform's store has its own client.  */
 struct store
 {
   const struct store_ops *ops;
-  /* Called with the argument of the watch after each answered wait; NULL: not
-     called.  Only stores that watch by long polls call it.  */
-  void (*on_poll) (void *arg, const struct store_poll *poll);
+  /* Called with the argument of the watch after each answered wait, which was
+     asked for at ASKED_NS: all changes up to REVISION were delivered.  NULL:
+     not called.  Only stores that watch by long polls call it.  */
+  void (*on_poll) (void *arg, int64_t revision, int64_t asked_ns);
 };
 
 /* A compare-and-swap whose value contains CHANGE_ID, a unique text.  Later
