Keep keys away from cold targets

The member of a cold target took its share of the keys at once and could serve them only at the rate of a cold target. While its target is cold, a member now reports a full load (255); if the service's policy has a rate for cold targets, members with that load get no slots by assignment, balancing or hand-over while others are warm, and keep what they have. Without such a policy the value counts as a number, as before.

--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -6,6 +6,7 @@
 #include "mesh/grants.h"
 #include "mesh/pack.h"
 #include "own/agent_env.h"
+#include "own/place.h"
 #include "settings/address.h"
 #include <inttypes.h>
 #include <stdlib.h>
@@ -54,6 +55,8 @@
   size_t document_length;
   GString *packed_document; /* compressed; NULL until requested */
   double load;              /* moving average, percent of the slots */
+  bool spare_cold;          /* cold targets get no new keys */
+  bool cold;                /* the own target is cold */
   bool own_change; /* the document being published was written by this node */
   bool leaving;    /* the agent hands its keys over */
   bool left;       /* the agent has left the cell */
@@ -423,6 +426,9 @@
     abort ();
   k->left = false;
   k->leaving = false;
+  agent_spare_full (k->agent, k->spare_cold);
+  if (k->cold)
+    agent_set_load (k->agent, PLACE_LOAD_FULL);
   agent_start (k->agent, now_ns);
   update (k);
 }
@@ -520,12 +526,38 @@
   agent_count_key (k->agent, text, (size_t)length, 1);
 }
 
+/* The load for the placement of keys.  */
+static uint16_t
+reported_load (const struct keys *k)
+{
+  if (k->cold)
+    return PLACE_LOAD_FULL;
+  double max = k->spare_cold ? PLACE_LOAD_FULL - 1 : UINT16_MAX;
+  return (uint16_t)(k->load < 1 ? 1 : k->load < max ? k->load : max);
+}
+
 void
 keys_record_load (struct keys *k, uint32_t load_pct)
 {
   k->load += ((double)load_pct - k->load) * LOAD_EWMA_WEIGHT;
   if (k->agent != NULL)
-    agent_set_load (k->agent, (uint16_t)(k->load < 1 ? 1 : k->load));
+    agent_set_load (k->agent, reported_load (k));
+}
+
+void
+keys_spare_cold (struct keys *k, bool spare)
+{
+  k->spare_cold = spare;
+  if (k->agent != NULL)
+    agent_spare_full (k->agent, spare);
+}
+
+void
+keys_set_cold (struct keys *k, bool cold)
+{
+  k->cold = cold && k->spare_cold;
+  if (k->agent != NULL)
+    agent_set_load (k->agent, reported_load (k));
 }
 
 bool
--- a/src/mesh/keys.h
+++ b/src/mesh/keys.h
@@ -72,6 +72,11 @@
 void keys_count_request (struct keys *k, uint32_t key);
 void keys_record_load (struct keys *k, uint32_t load_pct);
 
+/* Whether cold targets of the service get no new keys while others are warm;
+   and whether the own target is cold.  */
+void keys_spare_cold (struct keys *k, bool spare);
+void keys_set_cold (struct keys *k, bool cold);
+
 /* Process the store's reply to JOB.  False if another module submitted
    JOB.  */
 bool keys_on_store_reply (struct keys *k, struct store_job *job,
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -206,7 +206,7 @@
 on_cold_changed (void *arg, bool cold)
 {
   struct mesh *m = arg;
-  (void)cold;
+  keys_set_cold (m->keys, cold);
   nodes_broadcast_state (m->nodes);
 }
 
@@ -364,7 +364,10 @@
   router_set_routes (m->router, r);
   routes_unref (r);
   if (own_policy (m) != NULL)
-    egress_set_policy (m->egress, own_policy (m), clock_now_ns ());
+    {
+      keys_spare_cold (m->keys, own_policy (m)->warmup_rate_max > 0);
+      egress_set_policy (m->egress, own_policy (m), clock_now_ns ());
+    }
   if (m->target.phase == TARGET_SERVING)
     update_target (m, false);
   else
--- a/src/own/agent.c
+++ b/src/own/agent.c
@@ -485,6 +485,12 @@
   a->load = load < UINT8_MAX ? (uint8_t)load : UINT8_MAX;
 }
 
+void
+agent_spare_full (struct agent *a, bool spare)
+{
+  a->spares_full = spare;
+}
+
 const struct cell *
 agent_cell (const struct agent *a)
 {
--- a/src/own/agent.h
+++ b/src/own/agent.h
@@ -216,6 +216,10 @@
    known.  Renewals carry it to all members.  */
 void agent_set_load (struct agent *agent, uint16_t load);
 
+/* Whether a load of PLACE_LOAD_FULL marks a member that gets no slots while
+   others may.  All members must agree on it.  */
+void agent_spare_full (struct agent *agent, bool spare);
+
 /* Add REQUESTS to the number served here for KEY.  Hot keys are moved
    automatically to members whose load is known.  */
 void agent_count_key (struct agent *agent, const char *key, size_t length,
--- a/src/own/agent_move.c
+++ b/src/own/agent_move.c
@@ -182,7 +182,9 @@
   struct place_move moves[CELL_SLOTS_MAX];
   uint32_t max
       = is_leave_overdue (a, now_ns) ? CELL_SLOTS_MAX : AGENT_DRAIN_SLOTS_MAX;
-  uint32_t count = place_drain (a->cell, a->self, moves, max);
+  struct place_loads loads;
+  agent_collect_loads (a, a->cell, &loads);
+  uint32_t count = place_drain (a->cell, a->self, &loads, moves, max);
   if (count == 0 && cell_count_state (a->cell, MEMBER_ACTIVE) == 0
       && cell_count_state (a->cell, MEMBER_JOINING) == 0)
     count = plan_release_all (a, moves, max);
--- a/src/own/agent_msg.c
+++ b/src/own/agent_msg.c
@@ -679,6 +679,7 @@
                      struct place_loads *loads)
 {
   memset (loads, 0, sizeof *loads);
+  loads->spares_full = a->spares_full;
   for (uint32_t i = 0; i < cell->member_count; i++)
     {
       uint32_t incarnation = cell->members[i].incarnation;
--- a/src/own/agent_state.h
+++ b/src/own/agent_state.h
@@ -163,6 +163,7 @@
   struct agent_peer peers[CELL_MEMBERS_MAX];
   bool announcing;       /* notices of the present document are due */
   uint8_t load;          /* of this member, as in struct agent_peer */
+  bool spares_full;      /* a load of PLACE_LOAD_FULL is a mark */
   uint32_t gossip_index; /* index of the member whose load was sent last */
   int64_t now_ns;        /* time of the present input */
   struct settings_address fetch_from;
--- a/src/own/place.c
+++ b/src/own/place.c
@@ -76,6 +76,30 @@
     }
 }
 
+/* Whether member I is marked as one that gets no slots.  */
+static bool
+is_full (const struct place_loads *loads, uint32_t i)
+{
+  return loads != NULL && loads->spares_full
+         && loads->load[i] == PLACE_LOAD_FULL;
+}
+
+/* Exclude the full members from SHARES, unless all are full.  */
+static void
+spare_full (const struct cell *cell, const struct place_loads *loads,
+            struct shares *shares)
+{
+  bool others = false;
+  for (uint32_t i = 0; i < cell->member_count; i++)
+    others |= shares->weight[i] != 0 && !is_full (loads, i);
+  for (uint32_t i = 0; others && i < cell->member_count; i++)
+    if (is_full (loads, i))
+      {
+        shares->total_weight -= shares->weight[i];
+        shares->weight[i] = 0;
+      }
+}
+
 /* Whether A with one more slot would have more slots relative to its weight
    than B with one more.  */
 static bool
@@ -255,6 +279,7 @@
   fill_order (cell, order);
   copy_owners (cell, owners);
   fill_shares (cell, loads, policy, &shares);
+  spare_full (cell, loads, &shares);
   if (!compute_quotas (cell, &shares, count, quota))
     return 0;
   for (uint32_t i = 0; i < cell->slot_count; i++)
@@ -311,6 +336,7 @@
 
 static uint32_t
 rebalance_by_count (const struct cell *cell, member_index from,
+                    const struct place_loads *loads,
                     enum settings_policy policy, struct place_move *moves,
                     uint32_t max)
 {
@@ -321,6 +347,7 @@
   uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   fill_shares (cell, NULL, policy, &shares);
+  spare_full (cell, loads, &shares);
   while (count < max)
     {
       member_index to = least_filled (cell, &shares);
@@ -429,7 +456,7 @@
   uint32_t order[CELL_SLOTS_MAX] = { 0 };
   fill_order (cell, order);
   for (uint32_t i = 0; i < cell->member_count; i++)
-    load[i] = (int64_t)loads->load[i] * LOAD_SCALE;
+    load[i] = is_full (loads, i) ? 0 : (int64_t)loads->load[i] * LOAD_SCALE;
   int64_t slot_load = owned == 0 ? 0 : load[from] / owned;
   compute_allowances (cell, from, load, allowance);
   while (count < max)
@@ -477,10 +504,13 @@
   member_index from = cell_member_index (cell, owner);
   if (from == MEMBER_NONE || cell->members[from].state != MEMBER_ACTIVE)
     return 0;
+  /* A full member keeps what it has: it is full for a short time only.  */
+  if (is_full (loads, from))
+    return 0;
   if (place_uses_load (cell, loads, policy))
     count = rebalance_by_load (cell, from, loads, moves, max);
   else
-    count = rebalance_by_count (cell, from, policy, moves, max);
+    count = rebalance_by_count (cell, from, loads, policy, moves, max);
   if (uses_scattering (cell))
     scatter (cell, moves, count);
   else
@@ -489,7 +519,8 @@
 }
 
 uint32_t
-place_drain (const struct cell *cell, uint32_t owner, struct place_move *moves,
+place_drain (const struct cell *cell, uint32_t owner,
+             const struct place_loads *loads, struct place_move *moves,
              uint32_t max)
 {
   struct shares shares;
@@ -504,6 +535,7 @@
   member_index from = cell_member_index (cell, owner);
   if (from != MEMBER_NONE)
     shares.weight[from] = 0;
+  spare_full (cell, loads, &shares);
   if (!compute_quotas (cell, &shares, count, quota))
     return 0;
   for (uint32_t i = 0; i < count; i++)
--- a/src/own/place.h
+++ b/src/own/place.h
@@ -11,9 +11,13 @@
 
 /* Loads of the members, in hundredths of their capacity, in the order of the
    document.  0: not known.  */
+/* The load of a member that gets no slots while others may.  */
+#define PLACE_LOAD_FULL 255
+
 struct place_loads
 {
   uint16_t load[CELL_MEMBERS_MAX];
+  bool spares_full; /* PLACE_LOAD_FULL counts as above, not as a number */
 };
 
 struct place_move
@@ -83,6 +87,7 @@
 /* Fill MOVES with at most MAX moves of slots of the leaving member OWNER.
    Return the number of moves.  */
 uint32_t place_drain (const struct cell *cell, uint32_t owner,
+                      const struct place_loads *loads,
                       struct place_move *moves, uint32_t max);
 
 #endif
--- a/test/unit/test_own_script.c
+++ b/test/unit/test_own_script.c
@@ -310,6 +310,12 @@
       = (uint16_t)number_arg (s, 2);
 }
 
+static void
+do_spare_full (struct script *s)
+{
+  s->loads.spares_full = true;
+}
+
 static void
 do_show (struct script *s)
 {
@@ -396,8 +402,8 @@
 do_drain (struct script *s)
 {
   struct place_move moves[MOVES_MAX];
-  uint32_t count
-      = place_drain (s->cell, number_arg (s, 1), moves, number_arg (s, 2));
+  uint32_t count = place_drain (s->cell, number_arg (s, 1), &s->loads, moves,
+                                number_arg (s, 2));
   for (uint32_t i = 0; i < count; i++)
     s->cell->slots[moves[i].slot].owner = moves[i].to;
   fprintf (s->out, "%u slots moved\n", count);
@@ -536,6 +542,7 @@
   { "serial", do_serial },
   { "set-owner", do_set_owner },
   { "load", do_load },
+  { "spare-full", do_spare_full },
   { "show", do_show },
   { "remove", do_remove },
   { "guardians", do_guardians },
