Probe the health of targets, and use the load that they state

A node learned only from heartbeats that its target is cold, so a target that starts again under the same id got the full rate until the next one. A health probe is now sent when the target accepts connections again, once a second while it refuses them, after 2 s without a response under load, and by egress_reopen for the end of an evacuation. Until the result, and for the whole warm-up time if there is none, the target counts as cold (not for the probe after silence).

With target.states_load the slots and the pace of the target's answers are used: the pace multiplies the estimates of the gate and, through the state's pace_pct, those of other nodes, and replaces the slowdown measured at it. A pace out of range, or that the service times of ten answers contradict by more than a factor of three, is not used and named once. Probes need warmup_per_s; both features are off without their settings.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -59,6 +59,9 @@
    to end too late.  An estimate may be wrong, and only completed requests
    correct it.  */
 #define PROBES_MAX 2
+/* Responses of a route from which on its mean service time shows whether a
+   stated pace is right.  */
+#define CHECKED_SAMPLES_MIN 3
 /* Expected service time of a route without samples.  */
 #define DEFAULT_SERVICE_NS (100 * NS_PER_MS)
 /* Minimum of the retry-after time of a refusal.  */
@@ -70,6 +73,7 @@
   lineup_id id;
   bool running;
   int64_t started_ns;
+  double start_pace; /* as stated; 0: not stated */
   int64_t expected_service_ns;
   uint32_t rank;
 };
@@ -92,6 +96,7 @@
   uint32_t running;
   struct pace pace; /* under a stated limit */
   struct cold cold;
+  struct stated_load stated;
   double mean_service_ns; /* over all routes; 0: not known */
   lineup_id last_id;
   uint32_t first_rank;        /* the most urgent one in the mix */
@@ -153,6 +158,42 @@
   pace_clear_limit (&l->pace);
 }
 
+/* The factor of the stated pace on service times.  */
+static double
+pace_factor (const struct lineup *l)
+{
+  double pace = stated_load_pace (&l->stated);
+  return pace > 0 ? pace : 1;
+}
+
+/* Keep the estimates the same after the stated pace, whose factor was BEFORE,
+   came into use or went out of use: the measured slowdown does not include the
+   pace while that is used.  */
+static void
+replace_slowdown (struct lineup *l, bool used_before, double before)
+{
+  if (used_before != (stated_load_pace (&l->stated) > 0))
+    l->slowdown *= before / pace_factor (l);
+}
+
+void
+lineup_learn_load (struct lineup *l, const struct load_figures *figures,
+                   int64_t now_ns)
+{
+  double before = pace_factor (l);
+  bool used = stated_load_pace (&l->stated) > 0;
+  double smoothing_ns = l->mean_service_ns > 0 ? l->mean_service_ns
+                                               : (double)DEFAULT_SERVICE_NS;
+  stated_load_learn (&l->stated, figures, smoothing_ns, now_ns);
+  replace_slowdown (l, used, before);
+}
+
+struct stated_load *
+lineup_stated_load (struct lineup *l)
+{
+  return &l->stated;
+}
+
 struct cold *
 lineup_cold (struct lineup *l)
 {
@@ -220,8 +261,9 @@
 static int64_t
 expected_service_ns (const struct lineup *l, const struct route *route)
 {
-  return route->samples == 0 ? DEFAULT_SERVICE_NS
-                             : (int64_t)(route->mean_ns * l->slowdown);
+  return route->samples == 0
+             ? DEFAULT_SERVICE_NS
+             : (int64_t)(route->mean_ns * l->slowdown * pace_factor (l));
 }
 
 static uint32_t
@@ -456,6 +498,7 @@
 {
   e->running = true;
   e->started_ns = now_ns;
+  e->start_pace = stated_load_pace (&l->stated);
   l->running++;
   pace_record_start (&l->pace, now_ns);
   cold_record_start (&l->cold, now_ns);
@@ -673,14 +716,30 @@
   return first;
 }
 
+/* The pace at which E, which ends now, ran; 1: none is in use.  */
+static double
+pace_during (const struct lineup *l, const struct entry *e)
+{
+  double pace = stated_load_pace (&l->stated);
+  if (pace == 0)
+    return 1;
+  return e->start_pace > 0 ? (pace + e->start_pace) / 2 : pace;
+}
+
 static void
 update_estimates (struct lineup *l, const struct entry *e, int64_t service_ns)
 {
   struct route *route = find_route (l, e->request.route_hash);
+  double before = pace_factor (l);
+  double usual_ns = (double)service_ns / pace_during (l, e);
   route->samples++;
   double weight = fmax (ROUTE_MEAN_WEIGHT, 1.0 / route->samples);
-  double ratio = route->samples == 1 ? 1 : (double)service_ns / route->mean_ns;
-  route->mean_ns += ((double)service_ns - route->mean_ns) * weight;
+  double ratio = route->samples == 1 ? 1 : usual_ns / route->mean_ns;
+  bool used = stated_load_pace (&l->stated) > 0;
+  if (route->samples > CHECKED_SAMPLES_MIN)
+    stated_load_measure (&l->stated, ratio, used ? 1 : l->stated.pace);
+  replace_slowdown (l, used, before);
+  route->mean_ns += (usual_ns - route->mean_ns) * weight;
   ratio = fmin (SLOWDOWN_SAMPLE_MAX, fmax (SLOWDOWN_SAMPLE_MIN, ratio));
   l->slowdown += (ratio - l->slowdown) * SLOWDOWN_WEIGHT;
   if (l->mean_service_ns == 0)
@@ -724,6 +783,12 @@
   return user_data;
 }
 
+uint32_t
+lineup_slots (const struct lineup *l)
+{
+  return l->slots;
+}
+
 uint32_t
 lineup_running (const struct lineup *l)
 {
--- a/src/limit/lineup.h
+++ b/src/limit/lineup.h
@@ -19,8 +19,9 @@
    start no faster than that, and wait or are refused as when the slots are
    full.
 
-   Service times are estimated for each route, and scaled by the present
-   slowdown of the target, which all routes share.
+   Service times are estimated for each route, and scaled by the pace that the
+   target states, if it does, and its present slowdown beyond that, which all
+   routes share.
 
    A queue belongs to one thread and never reads the clock.  */
 
@@ -29,6 +30,7 @@
 
 #include "limit/cold.h"
 #include "limit/reason.h"
+#include "limit/stated_load.h"
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -83,6 +85,14 @@
    rate that it allows, or at that of a limit if that is lower.  */
 struct cold *lineup_cold (struct lineup *l);
 
+/* A response of NOW_NS states the load FIGURES.  A stated pace multiplies the
+   estimates, and replaces the slowdown that was measured at that pace.  */
+void lineup_learn_load (struct lineup *l, const struct load_figures *figures,
+                        int64_t now_ns);
+
+/* The load that the target states; reset it with a new target process.  */
+struct stated_load *lineup_stated_load (struct lineup *l);
+
 /* The time between two requests under the limit; 0: there is none.  */
 int64_t lineup_start_interval_ns (const struct lineup *l);
 
@@ -113,6 +123,7 @@
    its user_data; NULL when none waits.  */
 void *lineup_pop_waiting (struct lineup *l);
 
+uint32_t lineup_slots (const struct lineup *l);
 uint32_t lineup_running (const struct lineup *l);
 uint32_t lineup_waiting (const struct lineup *l);
 
--- a/src/mesh/balance.c
+++ b/src/mesh/balance.c
@@ -34,9 +34,34 @@
 struct service_times
 {
   GHashTable *route_means;     /* mean service time, ns, by route hash */
-  GHashTable *target_slowness; /* factor on the route mean, by target */
+  GHashTable *target_slowness; /* struct slowness, by target */
 };
 
+/* How slow a target is.  */
+struct slowness
+{
+  double factor;     /* on the route mean, beyond the stated pace */
+  uint32_t pace_pct; /* as last stated; 0: not stated, part of FACTOR */
+};
+
+static double
+pace_factor (uint32_t pace_pct)
+{
+  return pace_pct == 0 ? 1 : pace_pct / PERCENT;
+}
+
+/* The whole slowness of a target that states PACE_PCT.  When a pace comes into
+   use, or goes out of use, the slowness that was measured before holds until
+   the next measurement.  */
+static double
+slowness_at (const struct slowness *s, uint32_t pace_pct)
+{
+  if (s == NULL)
+    return pace_factor (pace_pct);
+  bool same_use = (s->pace_pct == 0) == (pace_pct == 0);
+  return s->factor * pace_factor (same_use ? pace_pct : s->pace_pct);
+}
+
 struct service_times *
 service_times_new (void)
 {
@@ -59,12 +84,13 @@
 
 void
 service_times_record (struct service_times *p, const char *target,
-                      uint32_t route_hash, int64_t service_ns)
+                      uint32_t route_hash, int64_t service_ns,
+                      uint32_t pace_pct)
 {
   gpointer key = GUINT_TO_POINTER (route_hash);
   double *mean = g_hash_table_lookup (p->route_means, key);
-  double *slowness = g_hash_table_lookup (p->target_slowness, target);
-  double took_ns = (double)service_ns;
+  struct slowness *slowness = g_hash_table_lookup (p->target_slowness, target);
+  double took_ns = (double)service_ns / pace_factor (pace_pct);
   if (mean == NULL)
     {
       mean = g_new0 (double, 1);
@@ -73,12 +99,15 @@
     }
   if (slowness == NULL)
     {
-      slowness = g_new0 (double, 1);
-      *slowness = 1;
+      slowness = g_new0 (struct slowness, 1);
+      slowness->factor = 1;
+      slowness->pace_pct = pace_pct;
       g_hash_table_insert (p->target_slowness, g_strdup (target), slowness);
     }
   double ratio = fmin (SLOWNESS_MAX, fmax (SLOWNESS_MIN, took_ns / *mean));
-  *slowness += (ratio - *slowness) * TARGET_EWMA_WEIGHT;
+  slowness->factor = slowness_at (slowness, pace_pct) / pace_factor (pace_pct);
+  slowness->pace_pct = pace_pct;
+  slowness->factor += (ratio - slowness->factor) * TARGET_EWMA_WEIGHT;
   *mean += (took_ns - *mean) * ROUTE_EWMA_WEIGHT;
 }
 
@@ -90,8 +119,8 @@
   g_hash_table_iter_init (&iter, p->target_slowness);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      double *slowness = value;
-      *slowness += (1 - *slowness) * DECAY_WEIGHT;
+      struct slowness *slowness = value;
+      slowness->factor += (1 - slowness->factor) * DECAY_WEIGHT;
     }
 }
 
@@ -103,13 +132,14 @@
 
 int64_t
 service_times_estimate (const struct service_times *p, const char *target,
-                        uint32_t route_hash)
+                        uint32_t route_hash, uint32_t pace_pct)
 {
   const double *mean
       = g_hash_table_lookup (p->route_means, GUINT_TO_POINTER (route_hash));
-  const double *slowness = g_hash_table_lookup (p->target_slowness, target);
+  const struct slowness *slowness
+      = g_hash_table_lookup (p->target_slowness, target);
   double expected_ns = mean == NULL ? (double)INITIAL_SERVICE_TIME_NS : *mean;
-  return (int64_t)(expected_ns * (slowness == NULL ? 1 : *slowness));
+  return (int64_t)(expected_ns * slowness_at (slowness, pace_pct));
 }
 
 /* The expected time until the candidate C answers, queueing included.  */
@@ -117,7 +147,8 @@
 estimate_answer_ns (const struct service_times *p, const struct candidate *c,
                     uint32_t route_hash)
 {
-  double service_ns = (double)service_times_estimate (p, c->name, route_hash);
+  double service_ns = (double)service_times_estimate (p, c->name, route_hash,
+                                                      c->load.pace_pct);
   uint32_t slots = c->load.slots > 0 ? c->load.slots : 1;
   uint32_t in_flight
       = c->load.running + c->load.waiting + c->sent_since_report;
--- a/src/mesh/balance.h
+++ b/src/mesh/balance.h
@@ -25,9 +25,11 @@
 struct service_times *service_times_new (void);
 void service_times_free (struct service_times *p);
 
-/* Record that a request of the route ROUTE_HASH took SERVICE_NS at TARGET.  */
+/* Record that a request of the route ROUTE_HASH took SERVICE_NS at TARGET,
+   whose stated pace was PACE_PCT; 0: not stated.  */
 void service_times_record (struct service_times *p, const char *target,
-                           uint32_t route_hash, int64_t service_ns);
+                           uint32_t route_hash, int64_t service_ns,
+                           uint32_t pace_pct);
 
 /* Move the slowness of every target a step towards the mean, so that a target
    that was slow and gets no requests is tried again after a while.  Called
@@ -38,9 +40,10 @@
 void service_times_forget (struct service_times *p, const char *target);
 
 /* The expected service time at TARGET of a request of the route
-   ROUTE_HASH.  */
+   ROUTE_HASH while the target states PACE_PCT; 0: not stated.  */
 int64_t service_times_estimate (const struct service_times *p,
-                                const char *target, uint32_t route_hash);
+                                const char *target, uint32_t route_hash,
+                                uint32_t pace_pct);
 
 struct candidate
 {
--- a/src/mesh/dialect.h
+++ b/src/mesh/dialect.h
@@ -9,6 +9,7 @@
 
 #include "base/status.h"
 #include "http/headers.h"
+#include "limit/stated_load.h"
 #include "mesh/routes.h"
 #include "mesh/terms.h"
 #include "settings/settings.h"
@@ -51,6 +52,13 @@
   uint32_t warmup_remaining_ms;
 };
 
+/* What the response to a health check says.  */
+struct target_health
+{
+  char id[TARGET_ID_BYTES];     /* of the target process */
+  uint32_t warmup_remaining_ms; /* how much longer it is cold */
+};
+
 /* A call to the address for targets.  */
 enum target_call
 {
@@ -93,6 +101,13 @@
      unchanged then.  */
   enum status (*parse_terms) (const struct headers *headers,
                               struct target_terms *terms);
+  /* Read the load that an answer with HEADERS states.  STATUS_NOT_FOUND if it
+     states none, STATUS_INVALID with a message if it is malformed.  */
+  enum status (*parse_load) (const struct headers *headers,
+                             struct load_figures *load);
+  /* Read the response to a health check.  STATUS_INVALID with a message.  */
+  enum status (*parse_health) (const struct headers *headers,
+                               struct target_health *health);
   /* The body of the answer to a valid call of a target; it may hold what the
      target needs for its next heartbeat.  */
   const char *(*heartbeat_answer) (void);
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "http/client.h"
 #include "limit/lineup.h"
+#include "mesh/health_probe.h"
 #include "settings/address.h"
 #include <math.h>
 #include <string.h>
@@ -25,13 +26,14 @@
 /* Retry-after while the target starts or leaves: another target may take over
    in about that time.  */
 #define CLOSED_RETRY_AFTER_NS (300 * NS_PER_MS)
+/* A target that has not responded to anything for this long, while requests
+   run there, is probed.  */
+#define SILENCE_NS (2 * NS_PER_S)
+/* Interval of the log lines about a stated load that cannot be read.  */
+#define LOAD_BAD_INTERVAL_NS (10 * NS_PER_S)
 /* Interval of the log lines that tell how a target's limit is used.  */
 #define USAGE_INTERVAL_NS (1 * NS_PER_S)
 
-/* Load of a cold target for the placement of keys: as a full one, so that it
-   gets no keys while others are warm.  */
-#define COLD_UTILIZATION_PCT 100
-
 struct egress
 {
   uv_loop_t *loop;
@@ -54,7 +56,15 @@
   bool cold_needs_policy; /* a cold target gets nothing before its rate is
                              known */
   bool has_policy;
-  bool was_cold; /* as last told by the hook */
+  bool was_cold;   /* as last told by the hook */
+  bool reads_load; /* the load that the target states is used */
+  struct health_probe *probe;
+  int64_t heard_ns; /* when the target last responded, or got a request while
+                       none ran */
+  egress_reopened *reopened; /* NULL: no reopening is awaited */
+  void *reopened_arg;
+  uv_timer_t reopen_timer; /* without a probe */
+  int64_t load_bad_ns;     /* of the last line about an unreadable load */
 };
 
 struct egress_job
@@ -270,6 +280,115 @@
   notice_cold (g, now_ns);
 }
 
+/* The target may have started again: it counts as cold until a health probe
+   tells more.  */
+static void
+assume_cold (struct egress *g, int64_t now_ns)
+{
+  const struct cold *c = lineup_cold (g->lineup);
+  learn_cold (g, COLD_ASSUMED, now_ns + c->warmup_ns, now_ns);
+}
+
+static void
+finish_reopening (struct egress *g, bool cold)
+{
+  egress_reopened *done = g->reopened;
+  g->reopened = NULL;
+  if (done != NULL)
+    done (g->reopened_arg, cold);
+}
+
+static void learn_load (struct egress *g, const struct headers *headers,
+                        const char *request, int64_t now_ns);
+
+static void
+on_probe_result (void *arg, const struct health_result *r)
+{
+  struct egress *g = arg;
+  int64_t now_ns = clock_now_ns ();
+  if (r->responded)
+    {
+      learn_cold (g, COLD_PROBED, now_ns + r->warmup_remaining_ms * NS_PER_MS,
+                  now_ns);
+      learn_load (g, r->headers, "health", now_ns);
+      g->heard_ns = now_ns;
+      if (g->view.phase == TARGET_DOWN && r->healthy)
+        {
+          /* It has been probed, and is not to be probed again.  */
+          g->view.phase = TARGET_SERVING;
+          g->hooks.target_responds (g->hooks.arg, r->warmup_remaining_ms);
+        }
+    }
+  else if (r->cause >= HEALTH_RECOVERED)
+    assume_cold (g, now_ns);
+  if (r->cause == HEALTH_REOPENING)
+    finish_reopening (g, is_cold (g, now_ns));
+  run_queue (g);
+}
+
+/* Send the probes that are due.  */
+static void
+probe_target (struct egress *g, int64_t now_ns)
+{
+  bool silent
+      = lineup_running (g->lineup) > 0 && now_ns - g->heard_ns >= SILENCE_NS;
+  if (health_probe_is_pending (g->probe))
+    return;
+  if (g->view.phase == TARGET_DOWN)
+    health_probe_start (g->probe, HEALTH_DOWN, now_ns);
+  else if (g->view.phase == TARGET_SERVING && silent)
+    health_probe_start (g->probe, HEALTH_SILENT, now_ns);
+}
+
+/* The load that the target states.  */
+
+static void
+log_load_problem (struct egress *g)
+{
+  struct stated_load *s = lineup_stated_load (g->lineup);
+  enum stated_load_problem problem = stated_load_take_problem (s);
+  if (problem != STATED_LOAD_FINE)
+    log_event (EV_STATED_LOAD_IGNORED, "target=%s pace=%.1f cause=\"%s\"",
+               g->view.id, s->last.pace_pct,
+               problem == STATED_LOAD_OUT_OF_RANGE
+                   ? "pace out of range"
+                   : "measured service times differ");
+}
+
+/* The slots of the target: as it states them, or as it last reported.  */
+static void
+update_slots (struct egress *g, int64_t now_ns)
+{
+  uint32_t stated = stated_load_slots (lineup_stated_load (g->lineup), now_ns);
+  lineup_set_slots (g->lineup, stated > 0 ? stated : g->view.slots);
+}
+
+/* Take the load from the answer to REQUEST, which has HEADERS.  */
+static void
+learn_load (struct egress *g, const struct headers *headers,
+            const char *request, int64_t now_ns)
+{
+  struct load_figures figures;
+  enum status s = STATUS_NOT_FOUND;
+  if (g->reads_load)
+    s = g->dialect->parse_load (headers, &figures);
+  if (s == STATUS_NOT_FOUND)
+    return;
+  if (s == STATUS_OK)
+    {
+      lineup_learn_load (g->lineup, &figures, now_ns);
+      update_slots (g, now_ns);
+      log_load_problem (g);
+      return;
+    }
+  counter_add (COUNTER_stated_load_bad_total, 1);
+  if (now_ns - g->load_bad_ns < LOAD_BAD_INTERVAL_NS && g->load_bad_ns != 0)
+    return;
+  g->load_bad_ns = now_ns;
+  log_event (EV_STATED_LOAD_IGNORED, "request=%s target=%s cause=\"%s\"",
+             request, g->view.id, status_message ());
+}
+
 /* Count the request that is sent at NOW_NS, and log once a second how many
    were sent to a target that limits them.  */
 static void
@@ -390,6 +509,7 @@
   if (job->request.key != ATTEMPT_NO_KEY)
     g->hooks.key_request_ended (g->hooks.arg, job->request.key);
   lineup_done (g->lineup, job->queue_id, completed, service_ns);
+  log_load_problem (g);
 }
 
 static void
@@ -404,6 +524,8 @@
   if (response->result == HTTP_COMPLETED)
     {
       learn_terms (job, response->headers, now_ns);
+      learn_load (g, response->headers, job->request.id, now_ns);
+      g->heard_ns = now_ns;
       result = answer_result (job, response, head, service_ns);
     }
   else
@@ -484,6 +606,8 @@
     .head_only = g_str_has_prefix (r->head->str, "HEAD "),
   };
   job->sent_ns = now_ns;
+  if (lineup_running (g->lineup) == 1)
+    g->heard_ns = now_ns;
   counter_add (COUNTER_target_sends_total, 1);
   record_usage (g, r, now_ns);
   if (r->key != ATTEMPT_NO_KEY)
@@ -540,6 +664,12 @@
                                settings->target_slots + SPARE_CONNECTIONS);
   g->lineup = lineup_new (settings->target_slots);
   g->cold_needs_policy = settings->cold_needs_policy;
+  g->reads_load = settings->target_states_load;
+  struct health_probe_deps probe_deps
+      = { loop, dialect, g->client, on_probe_result, g };
+  g->probe = health_probe_new (&probe_deps);
+  uv_timer_init (loop, &g->reopen_timer);
+  g->reopen_timer.data = g;
   cold_assume_used (lineup_cold (g->lineup), clock_now_ns ());
   g_queue_init (&g->refused_jobs);
   uv_timer_init (loop, &g->queue_timer);
@@ -556,8 +686,10 @@
   struct egress_job *job;
   int64_t now_ns = clock_now_ns ();
   bool is_report = view->warmup_until_ns != g->view.warmup_until_ns;
+  bool recovered = g->view.phase == TARGET_DOWN
+                   && view->phase == TARGET_SERVING && !restarted;
   g->view = *view;
-  lineup_set_slots (g->lineup, view->slots);
+  health_probe_set_target (g->probe, view->id);
   if (restarted)
     {
       http_client_reset (g->client, "restarted");
@@ -565,9 +697,17 @@
       stated_terms_reset (&g->stated, now_ns);
       lineup_clear_limit (g->lineup);
       cold_reset (lineup_cold (g->lineup));
+      stated_load_reset (lineup_stated_load (g->lineup));
     }
+  update_slots (g, now_ns);
   if (is_report)
     learn_cold (g, COLD_REPORTED, view->warmup_until_ns, now_ns);
+  /* The report may be older than a restart under the same id.  */
+  if (recovered && health_probe_is_enabled (g->probe))
+    {
+      assume_cold (g, now_ns);
+      health_probe_start (g->probe, HEALTH_RECOVERED, now_ns);
+    }
   if (view->phase != TARGET_SERVING)
     while ((job = lineup_pop_waiting (g->lineup)) != NULL)
       refuse_later (job, REASON_DRAINING, CLOSED_RETRY_AFTER_NS);
@@ -581,13 +721,37 @@
   g->has_policy = true;
   cold_set_policy (lineup_cold (g->lineup), policy->warmup_rate_max,
                    policy->warmup_ms * NS_PER_MS, now_ns);
+  health_probe_set_path (
+      g->probe, policy->warmup_rate_max > 0 ? policy->health_path : NULL);
   notice_cold (g, now_ns);
 }
 
+static void
+on_reopen_timer (uv_timer_t *timer)
+{
+  finish_reopening (timer->data, false);
+}
+
+void
+egress_reopen (struct egress *g, egress_reopened *done, void *arg,
+               int64_t now_ns)
+{
+  g->reopened = done;
+  g->reopened_arg = arg;
+  if (!health_probe_is_enabled (g->probe))
+    {
+      uv_timer_start (&g->reopen_timer, on_reopen_timer, 0, 0);
+      return;
+    }
+  assume_cold (g, now_ns);
+  health_probe_start (g->probe, HEALTH_REOPENING, now_ns);
+}
+
 void
 egress_tick (struct egress *g, int64_t now_ns)
 {
   notice_cold (g, now_ns);
+  probe_target (g, now_ns);
   /* A rising limit starts waiting requests earlier than the queue's timer
      expects.  */
   if (lineup_cold (g->lineup)->phase != COLD_WARM)
@@ -684,9 +848,10 @@
 egress_load (const struct egress *g, int64_t now_ns)
 {
   int64_t warmup_ms = (g->view.warmup_until_ns - now_ns) / NS_PER_MS;
+  double pace = stated_load_pace (lineup_stated_load (g->lineup));
   return (struct target_load){
     .accepting = g->view.phase == TARGET_SERVING,
-    .slots = g->view.slots,
+    .slots = g->reads_load ? lineup_slots (g->lineup) : g->view.slots,
     .running = lineup_running (g->lineup),
     .waiting = lineup_waiting (g->lineup),
     .queue_wait_ms
@@ -696,17 +861,22 @@
     .start_interval_ms
     = (uint32_t)((lineup_start_interval_ns (g->lineup) + NS_PER_MS - 1)
                  / NS_PER_MS),
+    .pace_pct = (uint32_t)lround (pace * 100),
   };
 }
 
 uint32_t
 egress_utilization_pct (const struct egress *g, int64_t now_ns)
 {
-  if (g->was_cold)
-    return COLD_UTILIZATION_PCT;
   return (uint32_t)(lineup_utilization (g->lineup, now_ns) * 100);
 }
 
+bool
+egress_is_cold (const struct egress *g)
+{
+  return g->was_cold;
+}
+
 uint32_t
 egress_job_count (const struct egress *g)
 {
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -51,6 +51,9 @@
   void (*connection_refused) (void *arg);
   /* The target states that it leaves.  */
   void (*target_leaves) (void *arg);
+  /* The target, which refused connections, responds again; it is cold for
+     WARMUP_MS.  */
+  void (*target_responds) (void *arg, uint32_t warmup_ms);
   /* The target became cold, or warm.  */
   void (*cold_changed) (void *arg, bool cold);
 };
@@ -69,6 +72,16 @@
 void egress_set_policy (struct egress *g, const struct service_policy *policy,
                         int64_t now_ns);
 
+/* The target takes requests again after the evacuation of its availability
+   zone: send a health probe now.  DONE is called once, from the event loop and
+   within a second: COLD if the target is cold, or if it did not respond and
+   counts as cold.  Until then it counts as cold.  Without a health path or a
+   rate of cold targets DONE is called with false.  A second call before that
+   replaces the first one's DONE.  */
+typedef void egress_reopened (void *arg, bool cold);
+void egress_reopen (struct egress *g, egress_reopened *done, void *arg,
+                    int64_t now_ns);
+
 /* Call it a few times a second.  */
 void egress_tick (struct egress *g, int64_t now_ns);
 
@@ -98,6 +111,9 @@
    of keys.  */
 uint32_t egress_utilization_pct (const struct egress *g, int64_t now_ns);
 
+/* Whether the target is cold and its rate is limited.  */
+bool egress_is_cold (const struct egress *g);
+
 /* The number of requests that run at the target or wait for it.  */
 uint32_t egress_job_count (const struct egress *g);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -202,6 +202,16 @@
   update_target (m, false);
 }
 
+static void
+on_target_responds (void *arg, uint32_t warmup_ms)
+{
+  struct mesh *m = arg;
+  enum target_change change
+      = target_view_responded (&m->target, warmup_ms, clock_now_ns ());
+  if (change != TARGET_UNCHANGED)
+    update_target (m, change == TARGET_RESTARTED);
+}
+
 static void
 on_cold_changed (void *arg, bool cold)
 {
@@ -649,6 +659,7 @@
     .key_refused = on_key_refused,
     .connection_refused = on_connection_refused,
     .target_leaves = on_target_leaves,
+    .target_responds = on_target_responds,
     .cold_changed = on_cold_changed,
   };
   struct nodes_hooks nodes_hooks = {
--- a/src/mesh/target_state.c
+++ b/src/mesh/target_state.c
@@ -107,6 +107,21 @@
   return true;
 }
 
+enum target_change
+target_view_responded (struct target_view *v, uint32_t warmup_ms,
+                       int64_t now_ns)
+{
+  if (v->phase != TARGET_DOWN)
+    return TARGET_UNCHANGED;
+  v->phase = TARGET_SERVING;
+  if (warmup_ms == 0)
+    return TARGET_RECOVERED;
+  v->warmup_until_ns = now_ns + warmup_ms * NS_PER_MS;
+  /* The sequence of its reports begins anew.  */
+  v->sequence = 0;
+  return TARGET_RESTARTED;
+}
+
 const char *
 target_change_name (enum target_change change)
 {
--- a/src/mesh/target_state.h
+++ b/src/mesh/target_state.h
@@ -59,6 +59,12 @@
 /* The target refused a connection.  True if it was serving until now.  */
 bool target_view_connection_refused (struct target_view *v);
 
+/* The process, which refused connections, has responded to a health check at
+   NOW_NS: it is cold for WARMUP_MS.  If that is not 0 it has started again
+   under the same id.  */
+enum target_change target_view_responded (struct target_view *v,
+                                          uint32_t warmup_ms, int64_t now_ns);
+
 /* The name of CHANGE in log lines.  */
 const char *target_change_name (enum target_change change);
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -55,6 +55,7 @@
   /* A cold target gets no requests before the configuration states its
      rate.  */
   bool cold_needs_policy;
+  bool target_states_load; /* the load that it states is used */
   /* store */
   struct settings_address stores[SETTINGS_STORES_MAX];
   uint32_t store_count;
