--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -227,6 +227,21 @@
   update_target (arg, false);
 }
 
+static void
+on_reopened (void *arg, bool cold)
+{
+  struct mesh *m = arg;
+  (void)cold; /* the rate limit of the gate applies from now on */
+  zone_gate_end_reopening (m->zone_gate);
+}
+
+static void
+on_zone_reopening (void *arg)
+{
+  struct mesh *m = arg;
+  egress_reopen (m->egress, on_reopened, m, clock_now_ns ());
+}
+
 static enum evacuations_phase
 zone_phase (void *arg, int64_t now_ns)
 {
@@ -293,11 +308,21 @@
   update_target (m, false);
 }
 
+static void
+on_target_responds (void *arg, uint32_t warmup_ms)
+{
+  struct mesh *m = arg;
+  enum target_change change
+      = target_view_responded (&m->target, warmup_ms, clock_now_ns ());
+  if (change != TARGET_UNCHANGED)
+    update_target (m, change == TARGET_RESTARTED);
+}
+
 static void
 on_cold_changed (void *arg, bool cold)
 {
   struct mesh *m = arg;
-  (void)cold;
+  keys_set_cold (m->keys, cold);
   nodes_broadcast_state (m->nodes);
 }
 
@@ -460,7 +485,10 @@
   router_set_routes (m->router, r);
   routes_unref (r);
   if (own_policy (m) != NULL)
-    egress_set_policy (m->egress, own_policy (m), clock_now_ns ());
+    {
+      keys_spare_cold (m->keys, own_policy (m)->warmup_rate_max > 0);
+      egress_set_policy (m->egress, own_policy (m), clock_now_ns ());
+    }
   if (m->target.phase == TARGET_SERVING)
     update_target (m, false);
   else
@@ -772,6 +800,7 @@
     .connection_refused = on_connection_refused,
     .target_leaves = on_target_leaves,
     .zone_phase = zone_phase,
+    .target_responds = on_target_responds,
     .cold_changed = on_cold_changed,
   };
   struct nodes_hooks nodes_hooks = {
@@ -820,6 +849,7 @@
     .key_prefix = m->dialect->evacuation_prefix,
     .arg = m,
     .changed = on_zone_changed,
+    .reopening = on_zone_reopening,
   };
   m->zone_gate = zone_gate_open (&zone_deps);
   m->router = router_open (&router_deps);
