Tests of cold targets, health probes and stated load

The property test of the cold rate has probes with late or no responses, late and lost reports, restarts under the same id and nodes that start without a configuration.

--- a/test/script/mesh_lib.sh
+++ b/test/script/mesh_lib.sh
@@ -37,10 +37,10 @@
     "$1" "$2" "$3" "$5" "$4"
 }
 
-configure () { # configure VERSION EXTRA_ROUTES
-  printf '{"version":"r%s","entries":[%s%s%s{"resource_type":"services","metadata":{"name":"fitting"},"spec":{"max_connections":10}},{"resource_type":"services","metadata":{"name":"stock"},"spec":{"max_connections":10,"sharded":true}},{"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}' \
+configure () { # configure VERSION EXTRA_ROUTES [MEMBERS OF EACH SERVICE, each with its comma]
+  printf '{"version":"r%s","entries":[%s%s%s{"resource_type":"services","metadata":{"name":"fitting"},"spec":{%s"max_connections":10}},{"resource_type":"services","metadata":{"name":"stock"},"spec":{%s"max_connections":10,"sharded":true}},{"resource_type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}]}' \
     "$1" "$(route fit /fit/ idempotent fitting 2000)" \
-    "$(route push /push/ non_idempotent stock 2000)" "$2" >"$work/config"
+    "$(route push /push/ non_idempotent stock 2000)" "$2" "${3:-}" "${3:-}" >"$work/config"
   curl -s -X POST --data-binary @"$work/config" \
     "http://127.0.0.1:$store/put?key=op/config"
 }
--- a/test/standin/standin_platform.c
+++ b/test/standin/standin_platform.c
@@ -10,9 +10,12 @@
    /control/N/COMMAND changes target N: "drain" makes it report that it drains,
    "reborn" restarts it as a new instance, "limit=R" makes its answers state a
    limit of R requests a second ("limit=" none), and "leaving" makes them state
-   that it leaves, which its heartbeats do not.  Each request that runs is
-   printed as "run REQUEST TARGET KEY AT", AT in milliseconds of the monotonic
-   clock.  */
+   that it leaves, which its heartbeats do not.  "cold=MS" makes it cold for MS
+   from now on, "load=TEXT" is the load that its answers state, whose pace it
+   has, "mute=1" stops its heartbeats, and "crash=MS" closes its port and
+   starts it again after MS under the same id, cold for three seconds.  Each
+   request that runs is printed as "run REQUEST TARGET KEY AT", AT in
+   milliseconds of the monotonic clock.  */
 
 #include <glib.h>
 #include <jansson.h>
@@ -31,6 +34,8 @@
   KEY_COUNT = 65536,
   HEARTBEAT_INTERVAL_MS = 200,
   SLOTS = 4,
+  RESTART_COLD_MS = 3000,
+  LOAD_PACE_INDEX = 3, /* of the pace among the figures of a load */
   TARGET_ARGUMENT_PARTS = 4
 };
 
@@ -76,6 +81,10 @@
   bool draining;
   bool leaving;
   char limit[32]; /* stated in answers; empty: none */
+  char load[32];  /* the same */
+  bool muted;     /* it sends no heartbeats */
+  int64_t cold_until_ns;
+  uv_timer_t restart_timer;
   struct held_key keys[KEY_COUNT];
 };
 
@@ -316,6 +325,55 @@
 }
 
 static void send_heartbeat (struct target *t);
+static void on_target_call (void *arg, struct http_server_exchange *x);
+
+static void
+on_restart_timer (uv_timer_t *timer)
+{
+  struct target *t = timer->data;
+  t->cold_until_ns = clock_now_ns () + RESTART_COLD_MS * NS_PER_MS;
+  t->sequence = 0;
+  t->server = http_server_new (&loop, &t->address, &limits, on_target_call, t);
+}
+
+/* Close the target's port for AWAY_MS.  */
+static void
+crash (struct target *t, uint64_t away_ms)
+{
+  http_server_close (t->server);
+  t->server = NULL;
+  memset (t->keys, 0, sizeof t->keys);
+  uv_timer_init (&loop, &t->restart_timer);
+  t->restart_timer.data = t;
+  uv_timer_start (&t->restart_timer, on_restart_timer, away_ms, 0);
+}
+
+/* The text behind "/NAME=" in the command X, or NULL.  */
+static const char *
+command_value (const struct http_server_exchange *x, const char *name)
+{
+  const char *at = strstr (x->request_target->str, name);
+  return at == NULL ? NULL : at + strlen (name);
+}
+
+/* Commands on the warm-up and the load of T.  */
+static void
+control_warmup (struct target *t, const struct http_server_exchange *x)
+{
+  const char *cold = command_value (x, "/cold=");
+  const char *load = command_value (x, "/load=");
+  const char *mute = command_value (x, "/mute=");
+  const char *away = command_value (x, "/crash=");
+  if (cold != NULL)
+    t->cold_until_ns
+        = clock_now_ns () + (int64_t)strtoul (cold, NULL, 10) * NS_PER_MS;
+  if (load != NULL)
+    g_strlcpy (t->load, load, sizeof t->load);
+  if (mute != NULL)
+    t->muted = *mute == '1';
+  if (away != NULL)
+    crash (t, strtoul (away, NULL, 10));
+}
 
 /* POST /control/N/COMMAND.  */
 static void
@@ -331,6 +389,7 @@
     t->leaving = true;
   if (g_str_has_suffix (x->request_target->str, "/drain"))
     t->draining = true;
+  control_warmup (t, x);
   if (g_str_has_suffix (x->request_target->str, "/reborn"))
     {
       t->incarnation++;
@@ -400,10 +459,20 @@
   (void)reply;
 }
 
+/* How much longer T is cold.  */
+static int
+cold_left_ms (const struct target *t)
+{
+  int64_t left_ns = t->cold_until_ns - clock_now_ns ();
+  return left_ns > 0 ? (int)((left_ns + NS_PER_MS - 1) / NS_PER_MS) : 0;
+}
+
 static void
 send_heartbeat (struct target *t)
 {
   char id[64];
+  if (t->muted || t->server == NULL)
+    return;
   target_id (t, id);
   char address[64];
   snprintf (address, sizeof address, "127.0.0.1:%u", t->address.port);
@@ -411,7 +480,7 @@
       "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service_name", t->service,
       "address", address, "zone", "here", "version", "v1", "capacity_slots",
       SLOTS, "state", t->draining ? "draining" : "ready", "sequence",
-      (int)++t->sequence, "warmup_left_ms", 0);
+      (int)++t->sequence, "warmup_left_ms", cold_left_ms (t));
   char *body = json_dumps (json, JSON_COMPACT);
   GString *out = g_string_new (NULL);
   g_string_printf (out,
@@ -475,6 +544,8 @@
                    t->index);
   if (t->limit[0] != '\0')
     g_string_append_printf (head, "Server-Limit: %s\r\n", t->limit);
+  if (t->load[0] != '\0')
+    g_string_append_printf (head, "Crocusbend-Server-Load: %s\r\n", t->load);
   if (t->leaving)
     g_string_append (head, "Server-Leaving: 1\r\n");
   http_respond (x, 200, head->str, body, strlen (body));
@@ -505,6 +576,19 @@
   uv_close ((uv_handle_t *)timer, on_delayed_closed);
 }
 
+/* The pace that T states; 100: none.  */
+static unsigned
+pace_of (const struct target *t)
+{
+  const char *at = t->load;
+  for (int i = 0; i < LOAD_PACE_INDEX && at != NULL; i++)
+    {
+      at = strchr (at, ',');
+      at += at != NULL;
+    }
+  return at == NULL ? 100 : (unsigned)strtoul (at, NULL, 10);
+}
+
 static void
 start_request (struct target *t, struct http_server_exchange *x)
 {
@@ -528,7 +612,19 @@
   x->user_data = delayed;
   x->on_disconnect = on_caller_disconnected;
   uv_timer_start (&delayed->timer, on_request_timer,
-                  (uint64_t)query_number (x, "ms", 5), 0);
+                  (uint64_t)query_number (x, "ms", 5) * pace_of (t) / 100, 0);
+}
+
+static void
+answer_health_check (struct http_server_exchange *x, const struct target *t)
+{
+  char id[64];
+  char head[160];
+  target_id (t, id);
+  snprintf (head, sizeof head,
+            "Crocusbend-Instance-Id: %s\r\nCrocusbend-Warmup-Ms: %d\r\n", id,
+            cold_left_ms (t));
+  http_respond (x, 200, head, "", 0);
 }
 
 static bool
@@ -549,7 +645,9 @@
   const char *expected
       = headers_find (x->headers, "Crocusbend-Expect-Instance");
   bool wrong_instance = expected != NULL && strcmp (expected, id) != 0;
-  if (!wrong_instance && strcmp (x->request_target->str, "/-/grant") == 0)
+  if (strcmp (x->request_target->str, "/health") == 0)
+    answer_health_check (x, t);
+  else if (!wrong_instance && strcmp (x->request_target->str, "/-/grant") == 0)
     handle_grant (t, x, false);
   else if (!wrong_instance
            && strcmp (x->request_target->str, "/-/release") == 0)
--- a/test/unit/test_limit_cold.c
+++ b/test/unit/test_limit_cold.c
@@ -1,10 +1,11 @@
-/* A property of the rate limit of cold targets, in simulated time.
+/* Tests of cold targets and of the load that targets state, and a property of
+   the rate limit of cold targets in simulated time.
 
-   Guards against a cold target that gets more requests in a second than it can
-   take, although the node beside it has been told that it is cold: with
-   restarts of target and node, late and lost reports, a target that becomes
-   cold again at any moment, and a full queue.  SEEDS in the environment sets
-   the number of runs.  */
+   The property guards against a cold target that gets more requests in a
+   second than it can take, although the node beside it has been told that it
+   is cold: with restarts of target and node, late and lost reports, a target
+   that becomes cold again at any moment, and a full queue.  SEEDS in the
+   environment sets the number of runs.  */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -70,9 +71,10 @@
   int policy_at;     /* when the configuration is known */
   int known_process; /* 0: none */
   int known_sequence;
-  bool closed; /* the target refused a connection */
-  int probed;  /* when the pending probe was sent; 0: none */
-  int told;    /* when it learned of the cold time; 0: not yet */
+  bool closed;  /* the target refused a connection */
+  int probed;   /* when the pending probe was sent; 0: none */
+  int responds; /* when its response arrives */
+  int told;     /* when it learned of the cold time; 0: not yet */
   struct job jobs[JOBS];
   unsigned char arrived[TICKS];
   int failed_at;
@@ -129,7 +131,7 @@
   w->closed = false;
   w->probed = 0;
   w->told = 0;
-  w->policy_at = now + below (w, 1500);
+  w->policy_at = now + below (w, uniform (w) < 0.5 ? 50 : 1500);
 }
 
 /* The rate is not known yet; the same as in mesh/egress.  */
@@ -214,15 +216,23 @@
   if (now % REPORT_INTERVAL != 0 || w->down_until > now)
     return;
   w->sequence++;
-  if (uniform (w) < 0.1)
+  if (uniform (w) < 0.2)
     return;
   while (r->arrives != 0)
     r++;
-  int late = uniform (w) < 0.2 ? below (w, 3000) : below (w, 20);
+  int late = uniform (w) < 0.4 ? below (w, 2500) : below (w, 20);
   int left = w->cold_until > now ? w->cold_until - now : 0;
   *r = (struct report){ now + 1 + late, now, w->sequence, left, w->process };
 }
 
+static void
+probe (struct world *w, int now)
+{
+  w->probed = now;
+  w->responds = now + 1 + below (w, uniform (w) < 0.5 ? 20 : 2000);
+  learn (w, COLD_ASSUMED, WARMUP, now, now);
+}
+
 /* What the node does with a report is that of mesh/target_state and
    mesh/egress.  */
 static void
@@ -232,8 +242,9 @@
     {
       if (r->process < w->known_process)
         return;
+      if (w->known_process != 0)
+        cold_reset (lineup_cold (w->lineup));
       w->known_process = r->process;
-      cold_reset (lineup_cold (w->lineup));
       w->closed = false;
     }
   else if (r->sequence <= w->known_sequence)
@@ -243,8 +254,7 @@
   if (w->closed)
     {
       w->closed = false;
-      w->probed = now;
-      learn (w, COLD_ASSUMED, WARMUP, now, now);
+      probe (w, now);
     }
 }
 
@@ -257,13 +267,19 @@
         receive_report (w, r, now);
         r->arrives = 0;
       }
-  if (w->probed == 0 || now < w->probed + 5)
+  if (w->probed == 0)
     return;
-  if (w->down_until <= now)
-    learn (w, COLD_PROBED, w->cold_until > now ? w->cold_until - now : 0, now,
-           now);
-  if (w->down_until <= now || now >= w->probed + PROBE_TIMEOUT)
-    w->probed = 0;
+  if (now >= w->probed + PROBE_TIMEOUT)
+    {
+      w->probed = 0;
+      learn (w, COLD_ASSUMED, WARMUP, now, now);
+    }
+  else if (w->down_until <= now && now >= w->responds)
+    {
+      w->probed = 0;
+      learn (w, COLD_PROBED, w->cold_until > now ? w->cold_until - now : 0,
+             now, now);
+    }
 }
 
 static void
@@ -285,16 +301,24 @@
       w->closed = true;
       become_cold (w, w->down_until);
     }
-  else if (x < 0.18) /* it is cold again */
-    become_cold (w, now);
-  else if (x < 0.24) /* an evacuation ends: a probe is sent */
-    w->probed = now;
-  else if (x < 0.32) /* the node is killed */
+  else if (x < 0.25) /* it is cold again, perhaps after an evacuation */
+    {
+      become_cold (w, now);
+      if (uniform (w) < 0.5 && w->node_down_until <= now
+          && w->frozen_until <= now)
+        probe (w, now);
+    }
+  else if (x < 0.31) /* an evacuation ends: a probe is sent */
+    {
+      if (w->node_down_until <= now && w->frozen_until <= now)
+        probe (w, now);
+    }
+  else if (x < 0.39) /* the node is killed */
     {
-      w->node_down_until = now + 100 + below (w, 1000);
+      w->node_down_until = now + 20 + below (w, 300);
       start_node (w, w->node_down_until);
     }
-  else if (x < 0.36) /* the node is frozen */
+  else if (x < 0.43) /* the node is frozen */
     w->frozen_until = now + below (w, 2000);
 }
 
@@ -381,11 +405,70 @@
     }
 }
 
+/* Guards against estimates that ignore a stated pace, count a slowdown twice,
+   or believe a pace that the measured times contradict.  */
+static void
+stated_pace_scales_the_estimates (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    double pace;         /* stated with each response; 0: not stated */
+    int service;         /* measured */
+    int responses;       /* before the estimate is read */
+    double expected_min; /* of the next request, ms */
+    double expected_max;
+    enum stated_load_problem problem;
+  } steps[] = {
+    { "measured", 0, 100, 40, 95, 105, STATED_LOAD_FINE },
+    { "slow, measured", 0, 300, 10, 200, 330, STATED_LOAD_FINE },
+    { "not counted twice", 300, 300, 1, 200, 340, STATED_LOAD_FINE },
+    { "usual", 100, 100, 90, 95, 105, STATED_LOAD_FINE },
+    { "slow at once", 300, 300, 5, 270, 330, STATED_LOAD_FINE },
+    { "fast at once", 100, 100, 5, 80, 120, STATED_LOAD_FINE },
+    { "out of range", 5, 100, 1, 80, 120, STATED_LOAD_OUT_OF_RANGE },
+    { "named once", 2000, 100, 20, 90, 120, STATED_LOAD_FINE },
+    { "contradicted", 900, 100, 40, 90, 160, STATED_LOAD_CONTRADICTED },
+    { "believed again", 100, 100, 60, 90, 120, STATED_LOAD_FINE },
+  };
+  struct lineup *l = lineup_new (4);
+  int now = 0;
+  (void)state;
+  for (size_t i = 0; i < sizeof steps / sizeof *steps; i++)
+    {
+      enum stated_load_problem problem = STATED_LOAD_FINE;
+      struct lineup_request r = { .route_hash = 1 };
+      struct lineup_decision d;
+      for (int k = 0; k <= steps[i].responses; k++)
+        {
+          struct load_figures f = { 1, 0, 4, .has_pace = steps[i].pace > 0,
+                                    .pace_pct = steps[i].pace };
+          r.soft_deadline_ns = r.deadline_ns = ns_at (now + 20000);
+          d = lineup_offer (l, &r, ns_at (now));
+          now += steps[i].service;
+          lineup_learn_load (l, &f, ns_at (now));
+          lineup_done (l, d.id, true, steps[i].service * NS_PER_MS);
+          enum stated_load_problem p
+              = stated_load_take_problem (lineup_stated_load (l));
+          problem = p == STATED_LOAD_FINE ? problem : p;
+        }
+      d = lineup_offer (l, &r, ns_at (now));
+      lineup_done (l, d.id, false, 0);
+      double ms = (double)d.expected_latency_ns / (double)NS_PER_MS;
+      if (ms < steps[i].expected_min || ms > steps[i].expected_max
+          || problem != steps[i].problem)
+        fail_msg ("%s: %.0f ms expected, problem %d", steps[i].name, ms,
+                  (int)problem);
+    }
+  lineup_free (l);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (limit_doubles_and_ends),
+    cmocka_unit_test (stated_pace_scales_the_estimates),
     cmocka_unit_test (cold_target_gets_its_rate),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/unit/test_mesh_decisions.c
+++ b/test/unit/test_mesh_decisions.c
@@ -212,6 +212,7 @@
     = (uint32_t)script_number (count, words, "warmup", 0),
     .load.start_interval_ms
     = (uint32_t)script_number (count, words, "interval", 0),
+    .load.pace_pct = (uint32_t)script_number (count, words, "pace", 0),
     .sent_since_report = (uint32_t)script_number (count, words, "sent", 0),
   };
 }
@@ -227,7 +228,8 @@
   else if (is (words, "record"))
     for (long i = 0; i < script_number (count, words, "times", 20); i++)
       service_times_record (w->service_times, words[1], 1,
-                            span_of (count, words, "took", 100));
+                            span_of (count, words, "took", 100),
+                            (uint32_t)script_number (count, words, "pace", 0));
   else if (is (words, "decay"))
     for (long i = 0; i < script_number (count, words, "times", 1); i++)
       service_times_decay (w->service_times);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -189,6 +189,79 @@
   routes_unref (r);
 }
 
+/* Guards against a misread rate, load or health check: a target would get too
+   many requests, or its real load would be ignored.  */
+static void
+warmup_load_and_health_are_parsed (void **state)
+{
+  static const struct
+  {
+    const char *service;
+    enum status status;
+    double rate;
+    uint32_t warmup_ms;
+    const char *path;
+  } services[] = {
+    { "", STATUS_OK, 0, 0, "/health" },
+    { ",\"warmup_s\":3.0,\"warmup_per_s\":8.1,\"health_path\":\"/h\"",
+      STATUS_OK, 8.1, 3000, "/h" },
+    { ",\"warmup_per_s\":-1", STATUS_INVALID, 0, 0, NULL },
+    { ",\"warmup_s\":\"3\"", STATUS_INVALID, 0, 0, NULL },
+    { ",\"health_path\":\"/a b\"", STATUS_INVALID, 0, 0, NULL },
+  };
+  static const struct
+  {
+    const char *text;
+    enum status status;
+    uint32_t slots;
+    double pace;
+  } loads[] = {
+    { "3,0,8", STATUS_OK, 8, -1 },      { "3,0,8,250", STATUS_OK, 8, 250 },
+    { "3,0", STATUS_INVALID, 0, 0 },    { "3,0,0", STATUS_INVALID, 0, 0 },
+    { "3,0,8,", STATUS_INVALID, 0, 0 }, { "3,0,8,1,1", STATUS_INVALID, 0, 0 },
+    { "3,x,8", STATUS_INVALID, 0, 0 },  { "3,0,8,nan", STATUS_INVALID, 0, 0 },
+    { "", STATUS_INVALID, 0, 0 },
+  };
+  (void)state;
+  for (size_t i = 0; i < sizeof services / sizeof services[0]; i++)
+    {
+      struct routes *r = NULL;
+      char *text = g_strdup_printf (
+          "{\"version\":\"r1\",\"entries\":[" LIMITS
+          ",{\"resource_type\":\"services\",\"metadata\":{\"name\":\"a\"},"
+          "\"spec\":{\"max_connections\":7%s}}]}",
+          services[i].service);
+      assert_int_equal (read_routes (text, &r), services[i].status);
+      g_free (text);
+      if (r == NULL)
+        continue;
+      const struct service_policy *p = routes_service_policy (r, "a");
+      assert_true (p->warmup_rate_max == services[i].rate);
+      assert_int_equal (p->warmup_ms, services[i].warmup_ms);
+      assert_string_equal (p->health_path, services[i].path);
+      routes_unref (r);
+    }
+  for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
+    {
+      struct load_figures load = { 0 };
+      struct headers *h = headers_new ();
+      headers_append_name (h, "Crocusbend-Server-Load", 22);
+      headers_append_value (h, loads[i].text, strlen (loads[i].text));
+      assert_int_equal (platform_parse_load (h, &load), loads[i].status);
+      assert_int_equal (load.slots, loads[i].slots);
+      assert_int_equal (load.has_pace, loads[i].pace > 0);
+      struct target_health health;
+      assert_int_equal (platform_parse_health (h, &health), STATUS_INVALID);
+      headers_append_name (h, "Crocusbend-Instance-Id", 22);
+      headers_append_value (h, "i-1", 3);
+      headers_append_name (h, "Crocusbend-Warmup-Ms", 20);
+      headers_append_value (h, "1200", 4);
+      assert_int_equal (platform_parse_health (h, &health), STATUS_OK);
+      assert_int_equal (health.warmup_remaining_ms, 1200);
+      headers_free (h);
+    }
+}
+
 static void
 malformed_routes_are_rejected (void **state)
 {
@@ -419,6 +492,7 @@
     cmocka_unit_test (invalid_heartbeat_is_rejected),
     cmocka_unit_test (calls_are_distinguished),
     cmocka_unit_test (routes_are_parsed),
+    cmocka_unit_test (warmup_load_and_health_are_parsed),
     cmocka_unit_test (malformed_routes_are_rejected),
     cmocka_unit_test (bounds_are_applied_or_refused),
     cmocka_unit_test (request_round_trips_between_nodes),
