--- a/test/unit/test_mesh_link.c
+++ b/test/unit/test_mesh_link.c
@@ -1,8 +1,5 @@
-/* Tests of the capacity of a node's link, in virtual time: the order and pace
-   of parts, admission of bodies under overload, reassembly.
-
-   Each property is checked for SEEDS seeds; the environment variable SEEDS
-   asks for more.  */
+/* Tests of the capacity of a node's link, in virtual time.  The environment
+   variable SEEDS asks for more seeds.  */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -10,7 +7,6 @@
 #include <stdint.h>
 
 #include <cmocka.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -64,15 +64,14 @@
     { "1.0.0", false, 0 },
     { "", false, 0 },
   };
+  const struct setting *def = &settings_schema[SETTING_node_link_mbps];
   (void)state;
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       struct settings s = { .link_kbps = 0 };
       char problem[SETTING_PROBLEM_BYTES];
-      assert_int_equal (
-          setting_parse (&s, &settings_schema[SETTING_node_link_mbps],
-                         cases[i].text, problem),
-          cases[i].valid);
+      bool valid = setting_parse (&s, def, cases[i].text, problem);
+      assert_int_equal (valid, cases[i].valid);
       assert_int_equal (s.link_kbps, cases[i].kbps);
     }
 }
