Let four nodes watch the store in a large mesh

Where zones can be evacuated and more than 24 nodes are connected, the first four by name watch, only the first of them with waits of 1 s, and the others suspend their watch; entries are renewed each 90 s. The list of nodes, and a document after a single lost race, may be read stale; a list without the reader's own entry, and a document that is not newer than the lost one, are read again.

--- a/src/mesh/directory.c
+++ b/src/mesh/directory.c
@@ -9,6 +9,9 @@
 /* Lifetime of an entry that its node does not renew.  */
 #define ENTRY_TTL_S 120
 #define ENTRY_RENEW_MS 40000
+/* Where nodes may read stale lists: more rarely, as the price of calls counts
+   there.  Leaves time to repeat a failed renewal.  */
+#define ENTRY_RENEW_SLOW_MS 90000
 /* Back-off before a failed call of the store is repeated.  */
 #define RETRY_MS 500
 
@@ -22,6 +25,19 @@
 
 static void on_timer (uv_timer_t *timer);
 
+static bool
+saves_calls (const struct directory *d)
+{
+  return d->deps.settings->evacuation_close_ms != 0;
+}
+
+static void
+renew_later (struct directory *d)
+{
+  uv_timer_start (&d->timer, on_timer,
+                  saves_calls (d) ? ENTRY_RENEW_SLOW_MS : ENTRY_RENEW_MS, 0);
+}
+
 static void
 submit (struct directory *d, struct store_job *job)
 {
@@ -48,12 +64,13 @@
 }
 
 static void
-submit_list (struct directory *d)
+submit_list (struct directory *d, bool stale_ok)
 {
   struct store_job *job = calloc (1, sizeof *job);
   if (job == NULL)
     abort ();
   job->call = STORE_LIST;
+  job->stale_ok = stale_ok;
   snprintf (job->key, sizeof job->key, "%s/node/",
             d->deps.settings->store_prefix);
   submit (d, job);
@@ -66,7 +83,7 @@
   if (d->lease == 0 || d->others_listed)
     submit_entry (d);
   else
-    submit_list (d);
+    submit_list (d, saves_calls (d));
 }
 
 static void
@@ -83,9 +100,9 @@
                job->lease);
   d->lease = job->lease;
   if (d->others_listed)
-    uv_timer_start (&d->timer, on_timer, ENTRY_RENEW_MS, 0);
+    renew_later (d);
   else
-    submit_list (d);
+    submit_list (d, saves_calls (d));
 }
 
 static void
@@ -101,6 +118,18 @@
   nodes_add (d->deps.nodes, &address);
 }
 
+/* Whether the list has the own entry, and so is newer than that.  */
+static bool
+has_own_entry (const struct directory *d, const GPtrArray *values)
+{
+  char own[ADDRESS_TEXT_BYTES];
+  settings_address_format (&d->deps.settings->peers, own);
+  for (guint i = 0; i < values->len; i++)
+    if (strcmp (g_ptr_array_index (values, i), own) == 0)
+      return true;
+  return false;
+}
+
 static void
 on_nodes_listed (struct directory *d, const struct store_job *job)
 {
@@ -109,10 +138,15 @@
       uv_timer_start (&d->timer, on_timer, RETRY_MS, 0);
       return;
     }
+  if (job->stale_ok && !has_own_entry (d, job->values))
+    {
+      submit_list (d, false);
+      return;
+    }
   for (guint i = 0; i < job->values->len; i++)
     add_node (d, g_ptr_array_index (job->values, i));
   d->others_listed = true;
-  uv_timer_start (&d->timer, on_timer, ENTRY_RENEW_MS, 0);
+  renew_later (d);
 }
 
 void
--- a/src/mesh/evacuations.c
+++ b/src/mesh/evacuations.c
@@ -153,6 +153,21 @@
   return false;
 }
 
+/* Whatever a node last heard, it was at most as late as others may be.  So
+   after this time a zone that was evacuated meanwhile is closed elsewhere.  */
+static bool
+is_cut_off (const struct evacuations *e, int64_t now_ns)
+{
+  return e->has_others && now_ns - e->heard_ns >= e->close_ns;
+}
+
+struct evacuations_stamp
+evacuations_report (const struct evacuations *e, int64_t now_ns)
+{
+  return is_cut_off (e, now_ns) ? (struct evacuations_stamp){ 0, 0 }
+                                : e->stamp;
+}
+
 GString *
 evacuations_format (const struct evacuations *e, int64_t now_ns)
 {
@@ -251,9 +266,7 @@
   const struct evacuated_zone *z = find_evacuated (e, zone);
   if (z != NULL)
     return is_closed (e, z, now_ns) ? EVACUATIONS_CLOSED : EVACUATIONS_CLOSING;
-  /* Whatever this node last heard, it was at most as late as others may be,
-     so a zone evacuated since then is not open longer than elsewhere.  */
-  if (e->has_others && now_ns - e->heard_ns >= e->close_ns)
+  if (is_cut_off (e, now_ns))
     return EVACUATIONS_UNKNOWN;
   z = find_zone (e->ended, e->ended_count, zone);
   if (z != NULL && now_ns - z->known_ns < EVACUATIONS_REOPENING_MS * NS_PER_MS)
--- a/src/mesh/evacuations.h
+++ b/src/mesh/evacuations.h
@@ -78,6 +78,11 @@
                            const struct evacuations_stamp *stamp,
                            int64_t sent_ns);
 
+/* What to report to other nodes: nothing while this node is cut off, so that
+   it does not confirm an outdated set to them.  */
+struct evacuations_stamp evacuations_report (const struct evacuations *e,
+                                             int64_t now_ns);
+
 /* The set as text for other nodes.  */
 GString *evacuations_format (const struct evacuations *e, int64_t now_ns);
 
--- a/src/mesh/keys.c
+++ b/src/mesh/keys.c
@@ -50,6 +50,9 @@
   bool move_reported;
   uint32_t serial; /* of the document in force */
   int64_t revision;
+  uint32_t lost_races;   /* swaps in a row that conflicted */
+  int64_t lost_revision; /* a swap lost a race there, and the document was not
+                            read since; 0: none */
   char *document;
   size_t document_length;
   GString *packed_document; /* compressed; NULL until requested */
@@ -157,10 +160,17 @@
   store_worker_submit (k->deps.worker, &job->job);
 }
 
+/* After a lost race a read that may be stale is enough, if it finds a newer
+   document than the one that the swap was to replace.  After two in a row
+   many members write, and a stale document would lose the next race too.  */
 static void
 env_read (struct agent_env *env)
 {
-  submit (from_env (env), agent_job_read (false));
+  struct keys *k = from_env (env);
+  struct agent_job *job = agent_job_read (false);
+  job->job.stale_ok = k->lost_races == 1 && k->lost_revision != 0
+                      && k->deps.settings->evacuation_close_ms != 0;
+  submit (k, job);
 }
 
 static void
@@ -579,6 +589,19 @@
       store_job_free (job);
       return true;
     }
+  if (job->call == STORE_SWAP)
+    k->lost_races = job->status == STATUS_CONFLICT ? k->lost_races + 1 : 0;
+  if (job->call == STORE_SWAP && job->status == STATUS_CONFLICT)
+    k->lost_revision = job->expected_revision;
+  if (job->call == STORE_READ && job->stale_ok
+      && (job->status != STATUS_OK || job->value.revision <= k->lost_revision))
+    {
+      store_job_free (job);
+      submit (k, agent_job_read (false));
+      return true;
+    }
+  if (job->call == STORE_READ)
+    k->lost_revision = 0;
   k->own_change = job->call == STORE_SWAP;
   agent_job_done (k->agent, own, now_ns);
   k->own_change = false;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -13,6 +13,7 @@
 #include "mesh/pack.h"
 #include "mesh/router.h"
 #include "mesh/spread.h"
+#include "mesh/watch_rank.h"
 #include "mesh/watcher.h"
 #include "mesh/zone_gate.h"
 #include "settings/address.h"
@@ -31,17 +32,6 @@
 
 /* Interval of load samples for the placement of keys.  */
 #define LOAD_INTERVAL_MS BALANCE_DECAY_INTERVAL_MS
-/* The first nodes by name use short watch waits, because a watch of the store
-   may miss a change until its wait ends.  The other nodes learn of a change
-   from them, and watch in case they do not.  */
-#define FAST_WATCHERS 2
-#define FAST_WATCH_MS 1000
-#define SLOW_WATCH_MS 8000
-/* With more nodes than this the wait grows in proportion to their number, up
-   to the longest wait that the store allows: one of so many nodes learns of a
-   change at once.  */
-#define SLOW_WATCH_NODES 24
-#define SLOW_WATCH_MAX_MS 28000
 /* A node that was heard of within this time has its share of the retry
    budgets, also while it cannot be reached.  */
 #define SHARE_NODES_SPAN_NS (600 * NS_PER_S)
@@ -549,42 +539,41 @@
     }
 }
 
-struct watcher_rank
+struct rank_scan
 {
-  const char *name;          /* of this node */
-  unsigned earlier_watchers; /* nodes before it by name with a healthy watch */
-  unsigned nodes;            /* connected, including this one */
+  const char *name; /* of this node */
+  struct watch_rank rank;
 };
 
 static bool
 count_node (void *arg, const struct node_view *view)
 {
-  struct watcher_rank *rank = arg;
-  rank->nodes++;
-  rank->earlier_watchers += view->state->watch_healthy
-                            && strcmp (view->node->name, rank->name) < 0;
+  struct rank_scan *scan = arg;
+  watch_rank_count (&scan->rank, scan->name, view->node->name,
+                    view->state->watch_healthy);
   return true;
 }
 
 static void
-update_watch_timeout (struct mesh *m, const struct watcher_rank *rank)
+update_watch (struct mesh *m)
 {
-  unsigned slow_ms = rank->nodes <= SLOW_WATCH_NODES
-                         ? SLOW_WATCH_MS
-                         : SLOW_WATCH_MS * rank->nodes / SLOW_WATCH_NODES;
+  struct rank_scan scan = {
+    m->settings->name,
+    { .nodes = 1, .may_suspend = m->settings->evacuation_close_ms != 0 },
+  };
+  nodes_visit (m->nodes, count_node, &scan);
   m->dialect->set_watch_timeout (m->watch_store,
-                                 rank->earlier_watchers < FAST_WATCHERS
-                                     ? FAST_WATCH_MS
-                                     : MIN (slow_ms, SLOW_WATCH_MAX_MS));
+                                 watch_rank_wait_ms (&scan.rank));
+  watcher_suspend (m->watcher,
+                   !watch_rank_should_watch (
+                       &scan.rank, !watcher_is_suspended (m->watcher)));
 }
 
 static void
 on_load_timer (uv_timer_t *timer)
 {
   struct mesh *m = timer->data;
-  struct watcher_rank rank = { m->settings->name, 0, 1 };
-  nodes_visit (m->nodes, count_node, &rank);
-  update_watch_timeout (m, &rank);
+  update_watch (m);
   zone_gate_tick (
       m->zone_gate,
       nodes_count_known (m->nodes, clock_now_ns () - SHARE_NODES_SPAN_NS) > 1);
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -25,6 +25,9 @@
   struct inbox *inbox;
   int64_t seen_revision; /* latest revision of the store that was seen */
   uint32_t backoff_ms;
+  pthread_mutex_t lock; /* for RESUMED */
+  pthread_cond_t resumed;
+  int suspended;
   uint32_t healthy;
   pthread_t thread;
 };
@@ -162,16 +165,27 @@
   return true;
 }
 
+static void
+wait_until_resumed (struct watcher *w)
+{
+  ck_pr_store_32 (&w->healthy, 0);
+  pthread_mutex_lock (&w->lock);
+  while (ck_pr_load_int (&w->suspended) != 0)
+    pthread_cond_wait (&w->resumed, &w->lock);
+  pthread_mutex_unlock (&w->lock);
+}
+
 /* The thread is never stopped, because a wait in a store call would delay the
    exit of the process.  */
 static void *
 run (void *arg)
 {
-  static const int stop_requested = 0;
   struct watcher *w = arg;
   bool key_read = false;
   while (true)
     {
+      if (key_read && ck_pr_load_int (&w->suspended) != 0)
+        wait_until_resumed (w);
       if (!key_read)
         key_read = read_all (w);
       if (!key_read)
@@ -179,9 +193,8 @@
           back_off (w);
           continue;
         }
-      enum status s
-          = w->store->ops->watch (w->store, w->watched, w->seen_revision,
-                                  on_change, w, &stop_requested);
+      enum status s = w->store->ops->watch (
+          w->store, w->watched, w->seen_revision, on_change, w, &w->suspended);
       if (s != STATUS_OK)
         log_event (EV_WATCH_LOST, "key=%s seen=%" PRId64 " cause=\"%s\"",
                    w->watched, w->seen_revision, status_message ());
@@ -217,6 +230,8 @@
     st->on_poll = on_poll;
   w->inbox = inbox;
   w->backoff_ms = BACKOFF_MIN_MS;
+  pthread_mutex_init (&w->lock, NULL);
+  pthread_cond_init (&w->resumed, NULL);
   if (st != NULL && pthread_create (&w->thread, NULL, run, w) == 0)
     return w;
   status_set (STATUS_SYSTEM, "cannot start the watch thread");
@@ -228,6 +243,23 @@
   return NULL;
 }
 
+void
+watcher_suspend (struct watcher *w, bool suspend)
+{
+  if (suspend == watcher_is_suspended (w))
+    return;
+  pthread_mutex_lock (&w->lock);
+  ck_pr_store_int (&w->suspended, suspend);
+  pthread_cond_signal (&w->resumed);
+  pthread_mutex_unlock (&w->lock);
+}
+
+bool
+watcher_is_suspended (const struct watcher *w)
+{
+  return ck_pr_load_int (&w->suspended) != 0;
+}
+
 bool
 watcher_is_healthy (const struct watcher *w)
 {
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -33,6 +33,11 @@
 struct watcher *watcher_start (struct store *st, const char *key,
                                const char *prefix, struct inbox *inbox);
 
+/* Suspend the watch, or resume it from the changes that were last seen.  A
+   suspended watch is not healthy.  */
+void watcher_suspend (struct watcher *w, bool suspend);
+bool watcher_is_suspended (const struct watcher *w);
+
 /* Whether the store answered the last call.  Callable from any thread.  */
 bool watcher_is_healthy (const struct watcher *w);
 
--- a/src/mesh/zone_gate.c
+++ b/src/mesh/zone_gate.c
@@ -257,7 +257,7 @@
 void
 zone_gate_fill_state (const struct zone_gate *z, struct frame_state *state)
 {
-  state->evacuations = z->set.stamp;
+  state->evacuations = evacuations_report (&z->set, state->clock_ns);
 }
 
 void
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -80,6 +80,9 @@
 struct store
 {
   const struct store_ops *ops;
+  /* Reads and lists may return a state that is seconds old, at a lower price.
+     Stores may ignore it.  */
+  bool may_read_stale;
   /* Called with the argument of the watch after each answered wait, which was
      asked for at ASKED_NS: all changes up to REVISION were delivered.  NULL:
      not called.  Only stores that watch by long polls call it.  */
--- a/src/store/worker.c
+++ b/src/store/worker.c
@@ -93,6 +93,7 @@
 run_job (struct store_worker *w, struct store_job *job)
 {
   const struct store_ops *ops = w->store->ops;
+  w->store->may_read_stale = job->stale_ok;
   switch (job->call)
     {
     case STORE_READ:
--- a/src/store/worker.h
+++ b/src/store/worker.h
@@ -38,6 +38,7 @@
   int64_t expected_revision; /* swap: the revision to replace */
   char *data;                /* swap, lease: the value to write; owned */
   size_t length;
+  bool stale_ok;  /* read, list: see may_read_stale of struct store */
   uint32_t ttl_s; /* lease */
   int64_t lease;  /* lease: the one to renew or 0; after the call, the current
                      one */
