Merge the watch of the store by four nodes

It depends on the setting store.reduce_calls now, not on that of evacuations: the two have nothing to do with each other, and a mesh without evacuations saves as much. All unit tests, mesh and catalogue.test pass.

--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -64,6 +64,7 @@
   uint32_t store_count;
   char store_prefix[SETTINGS_NAME_BYTES]; /* of all keys */
   uint32_t store_timeout_ms;
+  bool reduce_store_calls;
   /* limits */
   uint32_t requests_max;   /* concurrent requests in the node */
   uint32_t body_bytes_max; /* of a request and of a response */
