--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -59,8 +59,8 @@
                              known */
   bool has_policy;
   int64_t unbounded_logged_ns; /* 0: never */
-  bool was_cold;   /* as last told by the hook */
-  bool reads_load; /* the load that the target states is used */
+  bool was_cold;               /* as last told by the hook */
+  bool reads_load;             /* the load that the target states is used */
   struct health_probe *probe;
   int64_t heard_ns; /* when the target last responded, or got a request while
                        none ran */
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -39,7 +39,7 @@
 /* Frames of at least this size are counted in the memory's budget; smaller
    ones are the node's control traffic, and parts, which are counted when their
    frame is complete.  Admissions bound what is incomplete.  */
-#define COUNTED_FRAME_BYTES (2 * LINK_SMALL_BYTES)
+#define COUNTED_FRAME_BYTES ((size_t)2 * LINK_SMALL_BYTES)
 
 struct link
 {
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -7,8 +7,8 @@
 #ifndef MESH_NODES_H
 #define MESH_NODES_H
 
-#include "limit/lineup.h"
 #include "http/memory.h"
+#include "limit/lineup.h"
 #include "mesh/attempt.h"
 #include "mesh/frame.h"
 #include <uv.h>
--- a/test/standin/standin_platform.c
+++ b/test/standin/standin_platform.c
@@ -18,7 +18,8 @@
    PUT /put?key=K and POST /delete?key=K are writes by an operator; after POST
    /down every call of the store is answered with 503 until POST /up.  A list
    that may be stale lacks the last change.  Each request that runs is printed
-   as "run REQUEST TARGET KEY AT", AT in milliseconds of the monotonic clock.  */
+   as "run REQUEST TARGET KEY AT", AT in milliseconds of the monotonic clock.
+ */
 
 #include <glib.h>
 #include <jansson.h>
