Model: limit searches by processor time, not by wall clock

The verdict depended on what else the machine did.

The limit is the same number of seconds, of processor time. Beside load 15: model.test printed what it should, in about two minutes. A search limited to 3 s still ends as unfinished.

--- a/model/search.sh
+++ b/model/search.sh
@@ -5,7 +5,8 @@
 # lines of the search.  Environment:
 #   MODEL_DEPTH       longest run in steps; a small value finds a violation
 #                     near the start early, but such a search never "holds"
-#   MODEL_SECONDS     time limit of the search
+#   MODEL_SECONDS     limit of the search's processor time, so that its result
+#                     does not depend on what else the machine does
 #   MODEL_MEMORY_MB   memory limit of the search
 #   MODEL_HASH_BITS   size of the state table, log2 of its entries
 #   MODEL_STATS=1     also print the number of states
@@ -19,9 +20,10 @@
   && gcc -O2 -w -DSAFETY -DHC4 -DNOREDUCE \
     -DMEMLIM="${MODEL_MEMORY_MB:-3500}" -o pan pan.c 2>>spin.out \
   || { cat spin.out; exit 1; }
-timeout "${MODEL_SECONDS:-100}" ./pan -m"${MODEL_DEPTH:-2000000}" \
-  -w"${MODEL_HASH_BITS:-24}" \
-  >pan.out 2>&1
+(
+  ulimit -t "${MODEL_SECONDS:-100}"
+  exec ./pan -m"${MODEL_DEPTH:-2000000}" -w"${MODEL_HASH_BITS:-24}"
+) >pan.out 2>&1
 if grep -q 'assertion violated' pan.out; then
   echo violated
   [ -z "${MODEL_TRACE:-}" ] || spin -t -p -g "$@" "$here/ownership.pml"
