Read a target's pace with its result; remove repeated work

For every result the router searched all nodes by name for the pace of the target, and for the own target computed its whole load. The pace comes with the result now: both the gate and the peer's connection have it at hand. The load timer counted the known nodes twice and read the clock four times. The section of egress.c on the stated load stands before its first use, which makes a forward declaration needless, and egress_is_cold, which nothing called, is gone.

No behaviour changes: all unit tests pass.

--- a/src/mesh/attempt.h
+++ b/src/mesh/attempt.h
@@ -55,6 +55,8 @@
   int64_t retry_after_ns;  /* if OUTCOME_NOT_RUN: when a retry may succeed;
                               0: unknown */
   int64_t service_time_ns; /* time at the target; 0: not measured */
+  uint32_t pace_pct;       /* that the target states; 0: not known.  Between
+                              nodes it is part of the state.  */
   /* The target's terms, as the node beside it knows them.  */
   struct target_terms terms;
 };
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -240,6 +240,63 @@
     g->hooks.target_leaves (g->hooks.arg);
 }
 
+/* The load that the target states.  */
+
+static void
+log_load_problem (struct egress *g)
+{
+  struct stated_load *s = lineup_stated_load (g->lineup);
+  enum stated_load_problem problem = stated_load_take_problem (s);
+  if (problem != STATED_LOAD_FINE)
+    log_event (EV_STATED_LOAD_IGNORED, "target=%s pace=%.1f cause=\"%s\"",
+               g->view.id, s->last.pace_pct,
+               problem == STATED_LOAD_OUT_OF_RANGE
+                   ? "pace out of range"
+                   : "measured service times differ");
+}
+
+/* The pace that is used; 0: none.  */
+static uint32_t
+stated_pace_pct (const struct egress *g)
+{
+  return (uint32_t)lround (stated_load_pace (lineup_stated_load (g->lineup))
+                           * 100);
+}
+
+/* The slots of the target: as it states them, or as it last reported.  */
+static void
+update_slots (struct egress *g, int64_t now_ns)
+{
+  uint32_t stated = stated_load_slots (lineup_stated_load (g->lineup), now_ns);
+  lineup_set_slots (g->lineup, stated > 0 ? stated : g->view.slots);
+}
+
+/* Take the load from the answer to REQUEST, which has HEADERS.  */
+static void
+learn_load (struct egress *g, const struct headers *headers,
+            const char *request, int64_t now_ns)
+{
+  struct load_figures figures;
+  enum status s = STATUS_NOT_FOUND;
+  if (g->reads_load)
+    s = g->dialect->parse_load (headers, &figures);
+  if (s == STATUS_NOT_FOUND)
+    return;
+  if (s == STATUS_OK)
+    {
+      lineup_learn_load (g->lineup, &figures, now_ns);
+      update_slots (g, now_ns);
+      log_load_problem (g);
+      return;
+    }
+  counter_add (COUNTER_stated_load_bad_total, 1);
+  if (now_ns - g->load_bad_ns < LOAD_BAD_INTERVAL_NS && g->load_bad_ns != 0)
+    return;
+  g->load_bad_ns = now_ns;
+  log_event (EV_STATED_LOAD_IGNORED, "request=%s target=%s cause=\"%s\"",
+             request, g->view.id, status_message ());
+}
+
 /* Cold targets.  */
 
 static bool
@@ -301,9 +358,6 @@
     done (g->reopened_arg, cold);
 }
 
-static void learn_load (struct egress *g, const struct headers *headers,
-                        const char *request, int64_t now_ns);
-
 static void
 on_probe_result (void *arg, const struct health_result *r)
 {
@@ -343,55 +397,6 @@
     health_probe_start (g->probe, HEALTH_SILENT, now_ns);
 }
 
-/* The load that the target states.  */
-
-static void
-log_load_problem (struct egress *g)
-{
-  struct stated_load *s = lineup_stated_load (g->lineup);
-  enum stated_load_problem problem = stated_load_take_problem (s);
-  if (problem != STATED_LOAD_FINE)
-    log_event (EV_STATED_LOAD_IGNORED, "target=%s pace=%.1f cause=\"%s\"",
-               g->view.id, s->last.pace_pct,
-               problem == STATED_LOAD_OUT_OF_RANGE
-                   ? "pace out of range"
-                   : "measured service times differ");
-}
-
-/* The slots of the target: as it states them, or as it last reported.  */
-static void
-update_slots (struct egress *g, int64_t now_ns)
-{
-  uint32_t stated = stated_load_slots (lineup_stated_load (g->lineup), now_ns);
-  lineup_set_slots (g->lineup, stated > 0 ? stated : g->view.slots);
-}
-
-/* Take the load from the answer to REQUEST, which has HEADERS.  */
-static void
-learn_load (struct egress *g, const struct headers *headers,
-            const char *request, int64_t now_ns)
-{
-  struct load_figures figures;
-  enum status s = STATUS_NOT_FOUND;
-  if (g->reads_load)
-    s = g->dialect->parse_load (headers, &figures);
-  if (s == STATUS_NOT_FOUND)
-    return;
-  if (s == STATUS_OK)
-    {
-      lineup_learn_load (g->lineup, &figures, now_ns);
-      update_slots (g, now_ns);
-      log_load_problem (g);
-      return;
-    }
-  counter_add (COUNTER_stated_load_bad_total, 1);
-  if (now_ns - g->load_bad_ns < LOAD_BAD_INTERVAL_NS && g->load_bad_ns != 0)
-    return;
-  g->load_bad_ns = now_ns;
-  log_event (EV_STATED_LOAD_IGNORED, "request=%s target=%s cause=\"%s\"",
-             request, g->view.id, status_message ());
-}
-
 /* Count the request that is sent at NOW_NS, and log once a second how many
    were sent to a target that limits them.  */
 static void
@@ -543,6 +548,7 @@
   record_outcome (g,
                   result.target_failed || result.outcome != OUTCOME_ANSWERED);
   result.terms = current_terms (g);
+  result.pace_pct = stated_pace_pct (g);
   log_failure (job, &result, service_ns);
   finish_job (job, &result);
   g_string_free (head, TRUE);
@@ -946,7 +952,6 @@
 egress_load (const struct egress *g, int64_t now_ns)
 {
   int64_t warmup_ms = (g->view.warmup_until_ns - now_ns) / NS_PER_MS;
-  double pace = stated_load_pace (lineup_stated_load (g->lineup));
   return (struct target_load){
     .accepting
     = g->view.phase == TARGET_SERVING
@@ -961,7 +966,7 @@
     .start_interval_ms
     = (uint32_t)((lineup_start_interval_ns (g->lineup) + NS_PER_MS - 1)
                  / NS_PER_MS),
-    .pace_pct = (uint32_t)lround (pace * 100),
+    .pace_pct = stated_pace_pct (g),
   };
 }
 
@@ -971,12 +976,6 @@
   return (uint32_t)(lineup_utilization (g->lineup, now_ns) * 100);
 }
 
-bool
-egress_is_cold (const struct egress *g)
-{
-  return g->was_cold;
-}
-
 uint32_t
 egress_job_count (const struct egress *g)
 {
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -128,9 +128,6 @@
    of keys.  */
 uint32_t egress_utilization_pct (const struct egress *g, int64_t now_ns);
 
-/* Whether the target is cold and its rate is limited.  */
-bool egress_is_cold (const struct egress *g);
-
 /* The number of requests that run at the target or wait for it.  */
 uint32_t egress_job_count (const struct egress *g);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -695,17 +695,14 @@
 on_load_timer (uv_timer_t *timer)
 {
   struct mesh *m = timer->data;
+  int64_t now_ns = clock_now_ns ();
+  uint32_t known = nodes_count_known (m->nodes, now_ns - SHARE_NODES_SPAN_NS);
   update_watch (m);
-  zone_gate_tick (
-      m->zone_gate,
-      nodes_count_known (m->nodes, clock_now_ns () - SHARE_NODES_SPAN_NS) > 1);
+  zone_gate_tick (m->zone_gate, known > 1);
   spread_retry (m->spread);
-  egress_tick (m->egress, clock_now_ns ());
-  router_tick (
-      m->router,
-      nodes_count_known (m->nodes, clock_now_ns () - SHARE_NODES_SPAN_NS));
-  keys_record_load (m->keys,
-                    egress_utilization_pct (m->egress, clock_now_ns ()));
+  egress_tick (m->egress, now_ns);
+  router_tick (m->router, known);
+  keys_record_load (m->keys, egress_utilization_pct (m->egress, now_ns));
 }
 
 static void
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -334,7 +334,9 @@
   withdraw_call (call);
   g_hash_table_steal (peer->calls, &f->call_id);
   call->peer = NULL;
-  call->done (call->arg, &f->result);
+  struct attempt_result result = f->result;
+  result.pace_pct = peer->state.load.pace_pct;
+  call->done (call->arg, &result);
   g_free (call);
 }
 
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -301,18 +301,6 @@
   return RETRY_NOT_RUN;
 }
 
-/* The pace that the target of the node NAME states; 0: not known.  */
-static uint32_t
-pace_of (const struct router *router, const char *name)
-{
-  const struct frame_state *state;
-  if (strcmp (name, router->deps.settings->name) == 0)
-    return egress_load (router->deps.egress, clock_now_ns ()).pace_pct;
-  return nodes_find (router->deps.nodes, name, &state) == NULL
-             ? 0
-             : state->load.pace_pct;
-}
-
 static bool
 has_attempts_left (const struct pending *p)
 {
@@ -329,10 +317,10 @@
     .idempotent = p->request.idempotent,
     .sends = p->sends,
     .deadline_ns = p->request.deadline_ns,
-    .service_ns = service_times_estimate (p->router->service_times,
-                                          p->node_name, p->request.route_hash,
-                                          pace_of (p->router, p->node_name))
-                  / 2,
+    .service_ns
+    = service_times_estimate (p->router->service_times, p->node_name,
+                              p->request.route_hash, r->pace_pct)
+      / 2,
     .random = g_random_int (),
   };
   struct retry_decision d = { .action = RETRY_GIVE_UP };
@@ -405,7 +393,7 @@
       && (!r->target_failed || r->status == GATEWAY_TIMEOUT))
     service_times_record (router->service_times, p->node_name,
                           p->request.route_hash, r->service_time_ns,
-                          pace_of (router, p->node_name));
+                          r->pace_pct);
   if (!r->reached_target)
     {
       on_refused (p, r);
