Tell where a request waited whose caller left

The logs could not tell apart the places at which a request and its caller's leaving may wait together: nothing said when a request's bytes had come, how old a frame was, or how late a leaving was read.

CALLER_GONE and the new REQUEST_CANCELLED tell at the first and the target's node how long ago a request's bytes came, it was dispatched, sent on, received and sent to the target, and its caller left; REQUEST_ENDED tells how long it was held. REQUEST and CANCEL frames carry the times on the receiver's clock, in fields that nodes of earlier versions skip. No decision is changed.

--- a/src/http/net.c
+++ b/src/http/net.c
@@ -1,5 +1,6 @@
 #include "http/net.h"
 
+#include "base/clock.h"
 #include "settings/address.h"
 
 #include <netinet/in.h>
@@ -88,6 +89,32 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+bool
+net_get_peer_info (int fd, struct net_peer_info *info)
+{
+  struct tcp_info tcp;
+  socklen_t length = sizeof tcp;
+  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &tcp, &length) != 0
+      || length < sizeof tcp)
+    return false;
+  *info = (struct net_peer_info){
+    .left = tcp.tcpi_state == TCP_CLOSE_WAIT || tcp.tcpi_state == TCP_CLOSE
+            || tcp.tcpi_state == TCP_LAST_ACK,
+    .data_age_ns = tcp.tcpi_last_data_recv * NS_PER_MS,
+    .segment_age_ns = tcp.tcpi_last_ack_recv * NS_PER_MS,
+  };
+  return true;
+}
+
+bool
+net_get_stream_peer_info (const uv_stream_t *stream,
+                          struct net_peer_info *info)
+{
+  uv_os_fd_t fd;
+  return uv_fileno ((const uv_handle_t *)stream, &fd) == 0
+         && net_get_peer_info (fd, info);
+}
+
 void
 net_set_options (uv_tcp_t *tcp, unsigned silence_timeout_ms)
 {
--- a/src/http/net.h
+++ b/src/http/net.h
@@ -26,6 +26,22 @@
    reset.  After a short read libuv reports a reset as UV_EOF.  */
 bool net_closed_orderly (const uv_stream_t *stream);
 
+/* What the kernel knows of the peer of a connection.  */
+struct net_peer_info
+{
+  bool left; /* it closed its side or reset the connection */
+  /* Time since its last bytes, and its last segment, arrived.  */
+  int64_t data_age_ns;
+  int64_t segment_age_ns;
+};
+
+/* Describe the peer of the connection FD.  False if the kernel does not tell.
+   Unlike a read this finds an end that comes after bytes that were not read
+   yet.  */
+bool net_get_peer_info (int fd, struct net_peer_info *info);
+bool net_get_stream_peer_info (const uv_stream_t *stream,
+                               struct net_peer_info *info);
+
 /* Set TCP_NODELAY and, unless SILENCE_TIMEOUT_MS is 0, let the kernel close
    the connection when the peer is silent for that long (TCP_USER_TIMEOUT and
    keep-alive probes).  */
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,7 +1,10 @@
 #include "http/server.h"
 
+#include "base/clock.h"
+#include "base/duration.h"
 #include "http/bounds.h"
 #include "http/net.h"
+#include "http/poll_clock.h"
 #include "http/reason_phrase.h"
 #include <http_parser.h>
 #include <string.h>
@@ -22,6 +25,8 @@
 };
 
 #define NS_PER_SECOND 1e9
+/* Input that may have waited this long is asked for its age.  */
+#define INPUT_OLD_NS (10 * NS_PER_MS)
 
 struct http_server
 {
@@ -31,9 +36,11 @@
   http_handler_fn *handler;
   void *arg;
   GQueue connections;
+  struct poll_clock poll_clock;
   const struct http_memory *memory; /* may be NULL */
   uv_timer_t memory_timer;          /* active while a body waits for memory */
   bool draining;
+  bool closing;
 };
 
 struct request;
@@ -48,6 +55,9 @@
   GQueue requests;          /* complete requests, in order of arrival */
   struct request *incoming; /* the request being read, or NULL */
   GByteArray *unparsed;     /* read and not parsed while reading is paused */
+  int64_t input_ns;         /* when the bytes that were read last arrived */
+  int64_t unwatched_ns;     /* nothing was read since then; 0: the loop polls
+                               the connection */
   unsigned open_handles;    /* libuv handles not yet closed */
   int error_status; /* HTTP status of the error that ended parsing, or 0 */
   bool reading_paused;
@@ -249,6 +259,7 @@
   r->keep_alive = http_should_keep_alive (p) != 0;
   r->head_only = p->method == HTTP_HEAD;
   r->exchange.method = http_method_str ((enum http_method)p->method);
+  r->exchange.arrived_ns = c->input_ns;
   g_queue_push_tail (&c->requests, r);
   c->incoming = NULL;
   if (!r->keep_alive)
@@ -406,12 +417,53 @@
   g_free (c);
 }
 
+/* How long the input of C may have waited that was not read before.  */
+static int64_t
+unread_ns (const struct connection *c, int64_t now_ns)
+{
+  return c->unwatched_ns != 0
+             ? now_ns - c->unwatched_ns
+             : poll_clock_unread_ns (&c->server->poll_clock, now_ns);
+}
+
+/* When the bytes arrived that C just read.  */
+static int64_t
+find_arrival_ns (const struct connection *c, int64_t now_ns)
+{
+  struct net_peer_info info;
+  int64_t oldest_ns = unread_ns (c, now_ns);
+  if (oldest_ns < INPUT_OLD_NS
+      || !net_get_stream_peer_info ((const uv_stream_t *)&c->tcp, &info))
+    return now_ns;
+  return now_ns - MIN (info.data_age_ns, oldest_ns);
+}
+
+/* When the caller of C, whose end was read, left: its end was its last
+   segment.  */
+static int64_t
+find_left_ns (const struct connection *c, int64_t now_ns)
+{
+  struct net_peer_info info;
+  if (c->server->closing
+      || !net_get_stream_peer_info ((const uv_stream_t *)&c->tcp, &info))
+    return now_ns;
+  return now_ns - info.segment_age_ns;
+}
+
 static void
 abandon_requests (struct connection *c)
 {
   struct request *r;
+  int64_t left_ns = 0;
+  if (!g_queue_is_empty (&c->requests))
+    {
+      int64_t now_ns = clock_now_ns ();
+      left_ns = find_left_ns (c, now_ns);
+      duration_add (DURATION_caller_left_unread, now_ns - left_ns);
+    }
   while ((r = g_queue_pop_head (&c->requests)) != NULL)
     {
+      r->exchange.left_ns = left_ns;
       if (r->exchange.on_disconnect != NULL)
         r->exchange.on_disconnect (&r->exchange);
       request_free (r);
@@ -487,6 +539,8 @@
             continue;
           r->dispatched = true;
           more = true;
+          duration_add (DURATION_request_held,
+                        clock_now_ns () - r->exchange.arrived_ns);
           c->server->handler (c->server->arg, &r->exchange);
           break;
         }
@@ -528,6 +582,8 @@
 {
   g_byte_array_append (c->unparsed, (const guint8 *)data, (guint)length);
   c->reading_paused = true;
+  if (c->unwatched_ns == 0)
+    c->unwatched_ns = clock_now_ns ();
   uv_read_stop ((uv_stream_t *)&c->tcp);
 }
 
@@ -604,6 +660,8 @@
     }
   if (length == 0 || c->closing)
     return;
+  c->input_ns = find_arrival_ns (c, clock_now_ns ());
+  c->unwatched_ns = 0;
   parse (c, buffer->base, (size_t)length);
   if (!c->closed && !c->reading_paused
       && (c->memory_full || net_pending_bytes (stream) > UNREAD_BYTES_MAX))
@@ -653,6 +711,9 @@
       return;
     }
   net_set_options (&c->tcp, 0);
+  /* It may have waited to be accepted.  */
+  int64_t now_ns = clock_now_ns ();
+  c->unwatched_ns = now_ns - poll_clock_unread_ns (&s->poll_clock, now_ns);
   uv_read_start ((uv_stream_t *)&c->tcp, net_alloc_buffer, on_read);
   update_timer (c);
 }
@@ -677,6 +738,7 @@
   s->listener.data = s;
   uv_timer_init (loop, &s->memory_timer);
   s->memory_timer.data = s;
+  poll_clock_init (&s->poll_clock, loop);
   return s;
 }
 
@@ -707,11 +769,19 @@
 }
 
 static void
-on_memory_timer_closed (uv_handle_t *handle)
+on_poll_clock_closed (uv_handle_t *handle)
 {
   g_free (handle->data);
 }
 
+static void
+on_memory_timer_closed (uv_handle_t *handle)
+{
+  struct http_server *s = handle->data;
+  s->poll_clock.check.data = s;
+  poll_clock_close (&s->poll_clock, on_poll_clock_closed);
+}
+
 static void
 on_listener_closed (uv_handle_t *handle)
 {
@@ -722,6 +792,7 @@
 void
 http_server_close (struct http_server *s)
 {
+  s->closing = true;
   while (!g_queue_is_empty (&s->connections))
     close_connection (g_queue_peek_head (&s->connections));
   uv_close ((uv_handle_t *)&s->listener, on_listener_closed);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -36,6 +36,9 @@
   GString *request_target; /* path and query as received */
   struct headers *headers;
   GString *body;
+  int64_t arrived_ns; /* when its last bytes arrived, CLOCK_BOOTTIME */
+  int64_t left_ns;    /* when the caller disconnected, set before
+                         ON_DISCONNECT is called */
   /* Set by the handler.  Called if the caller disconnects before the response;
      the exchange is freed when it returns.  */
   void (*on_disconnect) (struct http_server_exchange *exchange);
--- a/src/mesh/attempt.h
+++ b/src/mesh/attempt.h
@@ -33,6 +33,9 @@
   int64_t soft_deadline_ns; /* when the answer is wanted, CLOCK_BOOTTIME of
                                this node */
   int64_t deadline_ns;      /* when the work on it must end, same clock */
+  int64_t arrived_ns;       /* when this node had received it, same clock */
+  int64_t sent_on_ns;       /* when another node had sent it here, same clock;
+                               0: it comes from a caller, or not known */
   int32_t key;              /* ATTEMPT_NO_KEY or the key's number */
   bool from_peer;           /* received from another node */
   bool admitted;            /* egress_check accepted it before its body was
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -111,8 +111,9 @@
 
 /* The result of JOB is no longer needed: the caller disconnected or was
    answered.  A waiting request is removed, a running idempotent one is
-   cancelled, and any other goes on, its result discarded.  */
-void egress_abandon (struct egress_job *job);
+   cancelled, and any other goes on, its result discarded.  LEFT_NS: when the
+   caller left; 0: it did not, or not known.  */
+void egress_abandon (struct egress_job *job, int64_t left_ns);
 
 /* The node stops at SHUTDOWN_NS.  The deadlines of requests that are sent from
    now on are limited to it, so that none starts that cannot end by then.  */
--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -202,23 +202,26 @@
 
 GString *
 frame_request (uint64_t call_id, const struct attempt_request *r,
-               const struct target_terms *terms, int64_t clock_offset_ns)
+               const struct target_terms *terms, int64_t clock_offset_ns,
+               int64_t sent_ns)
 {
   struct writer w;
-  writer_begin (&w, FRAME_REQUEST, REQUEST_ITEMS + terms_items (terms));
+  writer_begin (&w, FRAME_REQUEST, REQUEST_ITEMS + terms_items (terms) + 1);
   put_attempt (&w, call_id, r, clock_offset_ns);
   put_bytes (&w, r->head->str, r->head->len);
   put_bytes (&w, r->body->str, r->body->len);
   put_terms (&w, terms);
+  put_int (&w, sent_ns + clock_offset_ns);
   return writer_finish (&w);
 }
 
 GString *
-frame_cancel (uint64_t call_id)
+frame_cancel (uint64_t call_id, int64_t left_ns)
 {
   struct writer w;
-  writer_begin (&w, FRAME_CANCEL, 1);
+  writer_begin (&w, FRAME_CANCEL, 2);
   put_uint (&w, call_id);
+  put_int (&w, left_ns);
   return writer_finish (&w);
 }
 
@@ -477,6 +480,13 @@
   return g_string_new_len (bytes, (gssize)length);
 }
 
+/* A time that nodes of earlier versions do not send: 0.  */
+static int64_t
+read_added_time (struct reader *r)
+{
+  return r->next < r->end ? read_int (r) : 0;
+}
+
 static void
 read_attempt (struct reader *r, struct frame *f)
 {
@@ -499,6 +509,7 @@
   q->head = read_string (r);
   q->body = read_string (r);
   read_terms (r, &q->terms);
+  q->sent_on_ns = read_added_time (r);
 }
 
 static void
@@ -553,6 +564,7 @@
       break;
     case FRAME_CANCEL:
       f->call_id = read_uint (r);
+      f->left_ns = read_added_time (r);
       break;
     case FRAME_RESULT:
       read_result (r, f);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -96,6 +96,8 @@
   struct frame_state state;       /* STATE, RESULT */
   uint64_t call_id;               /* REQUEST, CANCEL, RESULT */
   struct attempt_request request; /* REQUEST; times on the receiver's clock */
+  int64_t left_ns;                /* CANCEL: when the caller left; 0: it did
+                                     not, or not known */
   struct attempt_result result;   /* RESULT */
   enum frame_document_type document_type; /* FETCH, DOCUMENT */
   int64_t revision;                       /* DOCUMENT: of the store */
@@ -117,8 +119,9 @@
                       const struct frame_state *state);
 GString *frame_request (uint64_t call_id, const struct attempt_request *r,
                         const struct target_terms *terms,
-                        int64_t clock_offset_ns);
-GString *frame_cancel (uint64_t call_id);
+                        int64_t clock_offset_ns, int64_t sent_ns);
+/* LEFT_NS: when the caller left, on the receiver's clock; 0: it did not.  */
+GString *frame_cancel (uint64_t call_id, int64_t left_ns);
 GString *frame_result (uint64_t call_id, const struct attempt_result *r,
                        const struct frame_state *state);
 GString *frame_fetch (enum frame_document_type document_type);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -2,8 +2,10 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/duration.h"
 #include "base/log.h"
 #include "http/client.h"
+#include "http/poll_clock.h"
 #include "http/server.h"
 #include "limit/memory.h"
 #include "mesh/balance.h"
@@ -54,6 +56,8 @@
 #define SHUTDOWN_MARGIN_MS INT64_C (300)
 /* Callers stop using a node about this long after it is no longer ready.  */
 #define STOP_DELAY_NS (2500 * NS_PER_MS)
+/* A loop that has not read its input for this long is reported.  */
+#define LOOP_BEHIND_NS (200 * NS_PER_MS)
 /* Minimum time between two requests for the configuration.  */
 #define FETCH_INTERVAL_NS (100 * NS_PER_MS)
 /* Limits on callers' requests before the first configuration.  */
@@ -77,6 +81,7 @@
   struct inbox *inbox;
   uv_poll_t inbox_poll;
   uv_prepare_t before_sleep;
+  struct poll_clock poll_clock;
   struct store_worker *worker;
   struct watcher *watcher;
   struct store *watch_store; /* owned by WATCHER */
@@ -444,15 +449,18 @@
   char *counters = counter_export ();
   char *latencies = router_metrics (m->router);
   char *zones = zone_gate_metrics (m->zone_gate);
+  char *durations = duration_export ();
   GString *out = g_string_new (counters);
   g_string_append (out, latencies);
   g_string_append (out, zones);
+  g_string_append (out, durations);
   http_respond (exchange, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                 out->str, out->len);
   g_string_free (out, TRUE);
   free (counters);
   g_free (latencies);
   g_free (zones);
+  free (durations);
 }
 
 /* Configuration.  */
@@ -528,10 +536,10 @@
 }
 
 static void
-cancel_request (void *arg, void *handle)
+cancel_request (void *arg, void *handle, int64_t left_ns)
 {
   (void)arg;
-  egress_abandon (handle);
+  egress_abandon (handle, left_ns);
 }
 
 static const char *
@@ -673,6 +681,11 @@
 on_before_sleep (uv_prepare_t *prepare)
 {
   struct mesh *m = prepare->data;
+  int64_t busy_ns = poll_clock_busy_ns (&m->poll_clock, clock_now_ns ());
+  duration_add (DURATION_loop_busy, busy_ns);
+  if (busy_ns >= LOOP_BEHIND_NS)
+    log_event (EV_LOOP_BEHIND, "for_ms=%d requests=%u",
+               (int)(busy_ns / NS_PER_MS), router_pending_count (m->router));
   while (!inbox_arm_wakeup (m->inbox))
     {
       inbox_clear_wakeup (m->inbox);
@@ -915,6 +928,7 @@
   m->sighup.data = m;
   uv_poll_start (&m->inbox_poll, UV_READABLE, on_inbox_readable);
   uv_prepare_start (&m->before_sleep, on_before_sleep);
+  poll_clock_init (&m->poll_clock, &m->loop);
   uv_signal_start (&m->sigterm, on_sigterm, SIGTERM);
   uv_signal_start (&m->sighup, on_sighup, SIGHUP);
   uv_timer_start (&m->load_timer, on_load_timer, LOAD_INTERVAL_MS,
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/duration.h"
 #include "base/log.h"
 #include "http/net.h"
 #include "limit/link.h"
@@ -351,7 +352,7 @@
       = { call->call_id, request->priority, request->soft_deadline_ns,
           start_ns, peer->state.load.link_kbps };
   GString *frame = frame_request (call->call_id, request, &peer->terms,
-                                  peer->clock_offset_ns);
+                                  peer->clock_offset_ns, clock_now_ns ());
   if (takes_parts (p, peer))
     sender_send_parts (p->sender, &peer->link->lane, frame, &order);
   else
@@ -465,13 +466,17 @@
   job->priority = f->request.priority;
   job->soft_deadline_ns = f->request.soft_deadline_ns;
   counter_add (COUNTER_requests_from_peers_total, 1);
+  f->request.arrived_ns = clock_now_ns ();
+  if (f->request.sent_on_ns != 0)
+    duration_add (DURATION_peer_request_age,
+                  f->request.arrived_ns - f->request.sent_on_ns);
   g_hash_table_replace (in->jobs, &job->call_id, job);
   job->handle
       = p->hooks.run_request (p->hooks.arg, &f->request, on_job_done, job);
 }
 
 static void
-cancel_inbound_job (struct inbound *in, uint64_t call_id)
+cancel_inbound_job (struct inbound *in, uint64_t call_id, int64_t left_ns)
 {
   struct nodes *p = in->link->nodes;
   struct inbound_job *job = g_hash_table_lookup (in->jobs, &call_id);
@@ -480,7 +485,7 @@
     admissions_cancel (p->admissions, in, call_id);
   if (job == NULL)
     return;
-  p->hooks.cancel_request (p->hooks.arg, job->handle);
+  p->hooks.cancel_request (p->hooks.arg, job->handle, left_ns);
   g_hash_table_remove (in->jobs, &call_id);
 }
 
@@ -674,7 +679,7 @@
       start_inbound_job (in, f);
       break;
     case FRAME_CANCEL:
-      cancel_inbound_job (in, f->call_id);
+      cancel_inbound_job (in, f->call_id, f->left_ns);
       break;
     case FRAME_FETCH:
       send_document (in, f->document_type);
@@ -697,7 +702,7 @@
   GList *jobs = g_hash_table_get_values (in->jobs);
   for (GList *l = jobs; l != NULL; l = l->next)
     p->hooks.cancel_request (p->hooks.arg,
-                             ((struct inbound_job *)l->data)->handle);
+                             ((struct inbound_job *)l->data)->handle, 0);
   g_list_free (jobs);
   g_hash_table_destroy (in->jobs);
   if (p->admissions != NULL)
@@ -1254,7 +1259,7 @@
 }
 
 bool
-nodes_cancel (struct node_call *call)
+nodes_cancel (struct node_call *call, int64_t left_ns)
 {
   struct peer *peer = call->peer;
   if (peer == NULL)
@@ -1264,7 +1269,10 @@
     }
   bool not_run = withdraw_call (call);
   g_hash_table_remove (peer->calls, &call->call_id);
-  link_send (peer->link, frame_cancel (call->call_id));
+  link_send (
+      peer->link,
+      frame_cancel (call->call_id,
+                    left_ns == 0 ? 0 : left_ns + peer->clock_offset_ns));
   g_free (call);
   return not_run;
 }
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -36,7 +36,8 @@
      Returns the handle for cancel_request.  */
   void *(*run_request) (void *arg, struct attempt_request *request,
                         attempt_done *done, void *done_arg);
-  void (*cancel_request) (void *arg, void *handle);
+  /* Its caller left at LEFT_NS; 0: it did not, or not known.  */
+  void (*cancel_request) (void *arg, void *handle, int64_t left_ns);
   /* Whether to accept REQUEST, whose head and body have yet to arrive.  False
      with the reason in *REFUSAL.  */
   bool (*check_offer) (void *arg, const struct attempt_request *request,
@@ -97,9 +98,10 @@
                               const struct attempt_request *request,
                               attempt_done *done, void *arg);
 
-/* Cancel CALL, whose result is no longer needed.  True if the other node has
-   not received all of the request, so that it does not run.  */
-bool nodes_cancel (struct node_call *call);
+/* Cancel CALL, whose result is no longer needed.  LEFT_NS: when its caller
+   left; 0: it did not.  True if the other node has not received all of the
+   request, so that it does not run.  */
+bool nodes_cancel (struct node_call *call, int64_t left_ns);
 
 /* Request a document from the node at ADDRESS.  False if it is not
    connected.  */
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -66,6 +66,7 @@
   const struct service_policy *service;
   struct attempt_request request;
   int64_t arrived_ns;
+  int64_t sent_on_ns;       /* when it was last sent to a node; 0: not yet */
   int64_t first_ns;         /* the caller's first attempt */
   int64_t wait_until_ns;    /* the caller's own deadline */
   uint64_t fingerprint;     /* of the request's content, for retries */
@@ -102,15 +103,16 @@
   uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
 }
 
-/* Whether the attempt may have run.  */
+/* LEFT_NS: when the caller left; 0: it did not.  Whether the attempt may have
+   run.  */
 static bool
-cancel_attempt (struct pending *p)
+cancel_attempt (struct pending *p, int64_t left_ns)
 {
   bool may_have_run = p->job != NULL;
   if (p->job != NULL)
-    egress_abandon (p->job);
+    egress_abandon (p->job, left_ns);
   if (p->call != NULL)
-    may_have_run = !nodes_cancel (p->call);
+    may_have_run = !nodes_cancel (p->call, left_ns);
   p->job = NULL;
   p->call = NULL;
   return may_have_run;
@@ -129,13 +131,14 @@
   log_event (EV_REQUEST_ENDED,
              "request=%s route=%s outcome=%s reason=%s status=%d took_ms=%d "
              "sends=%u turns=%u at=%s key=%d routes=%" PRIu64
-             " age_ms=%d service_ms=%d content=%016" PRIx64,
+             " age_ms=%d service_ms=%d content=%016" PRIx64 " held_ms=%d",
              p->request.id, p->route->name, outcome_word (r->outcome),
              reason_word (r->reason), status, took_ms, p->sends, p->refusals,
              p->node_name == NULL ? "-" : p->node_name, p->request.key,
              p->routes->version,
              (int)((p->arrived_ns - p->first_ns) / NS_PER_MS),
-             (int)(r->service_time_ns / NS_PER_MS), p->request.content);
+             (int)(r->service_time_ns / NS_PER_MS), p->request.content,
+             (int)((p->arrived_ns - p->exchange->arrived_ns) / NS_PER_MS));
 }
 
 static void
@@ -226,10 +229,18 @@
   if (p == NULL)
     return;
   counter_add (COUNTER_callers_gone_total, 1);
-  log_event (EV_CALLER_GONE, "request=%s route=%s after_ms=%d sent=%u",
+  int64_t now_ns = clock_now_ns ();
+  log_event (EV_CALLER_GONE,
+             "request=%s route=%s after_ms=%d sent=%u bytes_ms=%d "
+             "sent_on_ms=%d left_ms=%d at=%s",
              p->request.id, p->route->name,
-             (int)((clock_now_ns () - p->arrived_ns) / NS_PER_MS), p->sends);
-  cancel_attempt (p);
+             (int)((now_ns - p->arrived_ns) / NS_PER_MS), p->sends,
+             (int)((now_ns - exchange->arrived_ns) / NS_PER_MS),
+             p->sent_on_ns == 0 ? -1
+                                : (int)((now_ns - p->sent_on_ns) / NS_PER_MS),
+             (int)((now_ns - exchange->left_ns) / NS_PER_MS),
+             p->node_name == NULL ? "-" : p->node_name);
+  cancel_attempt (p, exchange->left_ns);
   pending_free (p);
 }
 
@@ -239,7 +250,7 @@
 static void
 end_early (struct pending *p, enum reason reason)
 {
-  bool may_have_run = cancel_attempt (p) || p->in_doubt;
+  bool may_have_run = cancel_attempt (p, 0) || p->in_doubt;
   struct attempt_result r
       = may_have_run ? attempt_unknown (reason) : attempt_not_run (reason, 0);
   finish (p, &r);
@@ -503,6 +514,7 @@
   const struct router_deps *deps = &p->router->deps;
   g_free (p->node_name);
   p->node_name = g_strdup (name);
+  p->sent_on_ns = now_ns;
   if (strcmp (name, deps->settings->name) == 0)
     {
       struct attempt_request copy;
@@ -672,6 +684,7 @@
   p->service = &g_array_index (r->routes->services, struct service_policy,
                                route_pick_service (route));
   p->arrived_ns = clock_now_ns ();
+  p->request.arrived_ns = exchange->arrived_ns;
   p->fingerprint = fingerprint_of (r, exchange);
   p->tried_targets = g_ptr_array_new_with_free_func (g_free);
   p->request.route_hash = XXH32 (route->name, strlen (route->name), 0);
--- a/src/route/callers.c
+++ b/src/route/callers.c
@@ -1,7 +1,9 @@
 #include "route/callers.h"
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/duration.h"
 #include "base/log.h"
+#include "http/net.h"
 #include "route/request_line.h"
 #include "route/router.h"
 #include "settings/address.h"
@@ -334,6 +336,25 @@
   return read_headers (x, r, clock_now_ns ());
 }
 
+/* The socket of the caller of X, or -1.  */
+static int
+socket_of (const struct exchange *x)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info != NULL ? info->connect_fd : -1;
+}
+
+/* When the last bytes of X arrived.  Those of a request that waited behind
+   others of its connection may be older.  */
+static int64_t
+find_arrival_ns (const struct exchange *x, int64_t now_ns)
+{
+  struct net_peer_info info;
+  return net_get_peer_info (socket_of (x), &info) ? now_ns - info.data_age_ns
+                                                  : now_ns;
+}
+
 static enum MHD_Result
 route (struct exchange *x, const char *method)
 {
@@ -344,12 +365,13 @@
   if (ck_pr_load_32 (&x->callers->draining) != 0)
     return answer_refusal (x, OUTCOME_NOT_RUN, REASON_DRAINING,
                            reason_text (REASON_DRAINING));
-  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  x->call.fd = info != NULL ? info->connect_fd : -1;
+  x->call.fd = socket_of (x);
   x->call.done = on_call_done;
   x->call.context = x;
   counter_add (COUNTER_requests_total, 1);
+  int64_t now_ns = clock_now_ns ();
+  x->call.request->arrived_ns = find_arrival_ns (x, now_ns);
+  duration_add (DURATION_request_held, now_ns - x->call.request->arrived_ns);
   /* Suspended first: the router may end the call before router_submit
      returns.  */
   MHD_suspend_connection (x->connection);
--- a/src/route/operator.c
+++ b/src/route/operator.c
@@ -2,6 +2,7 @@
 #include "ask/run.h"
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/duration.h"
 #include "route/asknode.h"
 #include "route/callstats.h"
 #include "route/ownd.h"
@@ -13,6 +14,7 @@
 #include <microhttpd.h>
 #include <poll.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -70,14 +72,27 @@
       strdup (serving ? "serving\n" : "not serving\n"), "text/plain");
 }
 
+static enum MHD_Result
+answer_metrics (struct MHD_Connection *connection)
+{
+  char *counters = counter_export ();
+  char *durations = duration_export ();
+  char *text = NULL;
+  if (counters != NULL && durations != NULL
+      && asprintf (&text, "%s%s", counters, durations) < 0)
+    text = NULL;
+  free (counters);
+  free (durations);
+  return respond (connection, MHD_HTTP_OK, text, "text/plain; version=0.0.4");
+}
+
 static enum MHD_Result
 answer_get (struct operator_service *o, struct MHD_Connection *connection,
             const char *url)
 {
   struct service *ownd = kernel_find (o->kernel, OWND_SERVICE);
   if (strcmp (url, "/metrics") == 0)
-    return respond (connection, MHD_HTTP_OK, counter_export (),
-                    "text/plain; version=0.0.4");
+    return answer_metrics (connection);
   if (strcmp (url, "/burn") == 0)
     return respond (
         connection, MHD_HTTP_OK,
--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -76,6 +76,7 @@
   r->id = m->request_id;
   r->idempotent = m->idempotent;
   r->depth = m->depth;
+  r->arrived_ns = clock_now_ns ();
   r->deadline_ns = m->time_ns;
   memcpy (r->method, m->method, sizeof r->method);
   memcpy (r->key, m->key, sizeof r->key);
--- a/src/route/request.h
+++ b/src/route/request.h
@@ -40,7 +40,9 @@
   bool idempotent;
   uint32_t depth; /* 0: sent by a caller; 1: a lookup that a target sent while
                      it ran a request */
-  int64_t deadline_ns; /* CLOCK_BOOTTIME of this node */
+  int64_t arrived_ns;  /* when its last bytes arrived at this node,
+                          CLOCK_BOOTTIME */
+  int64_t deadline_ns; /* same clock */
 };
 
 /* The answer that is returned to the caller.  */
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -1,6 +1,9 @@
 #include "route/router.h"
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/duration.h"
+#include "base/log.h"
+#include "http/net.h"
 #include "route/callstats.h"
 #include "route/ownd.h"
 #include "route/peers.h"
@@ -10,6 +13,7 @@
 #include <ck_pr.h>
 #include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
@@ -344,10 +348,33 @@
     }
 }
 
+/* How long ago the last segment of the caller of C arrived, which closed or
+   reset its connection.  */
+static int64_t
+left_age_ns (const struct call *c)
+{
+  struct net_peer_info info;
+  return net_get_peer_info (c->fd, &info) ? info.segment_age_ns : 0;
+}
+
 static void
 on_hangup (struct router *r, struct call *c)
 {
+  int64_t now_ns = clock_now_ns ();
+  int64_t unread_ns = left_age_ns (c);
   counter_add (COUNTER_callers_gone_total, 1);
+  duration_add (DURATION_caller_left_unread, unread_ns);
+  log_event (
+      EV_CALLER_GONE,
+      "request=%016" PRIx64 " after_ms=%d sent_on_ms=%d left_ms=%d at=%s",
+      c->request->id, (int)((now_ns - c->request->arrived_ns) / NS_PER_MS),
+      c->attempt == NULL
+          ? -1
+          : (int)((now_ns - c->attempt->started_ns) / NS_PER_MS),
+      (int)(unread_ns / NS_PER_MS),
+      c->attempt == NULL          ? "-"
+      : c->attempt->owner.is_self ? "self"
+                                  : c->attempt->owner.peer_address);
   enum outcome outcome
       = c->attempt != NULL ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
   finish_unanswered (r, c, outcome, REASON_CALLER_GONE);
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -349,7 +349,16 @@
 abort_send (struct target *t, struct send *s, enum reason reason)
 {
   unsigned send_count = s->http.send_count;
+  const struct request *r = s->attempt->request;
+  int64_t now_ns = clock_now_ns ();
   counter_add (COUNTER_target_cancelled_total, 1);
+  if (reason == REASON_CALLER_GONE)
+    log_event (EV_REQUEST_CANCELLED,
+               "request=%016" PRIx64
+               " arrived_ms=%d started_ms=%d sends=%u idempotent=%d",
+               r->id, (int)((now_ns - r->arrived_ns) / NS_PER_MS),
+               (int)((now_ns - s->started_ns) / NS_PER_MS), send_count,
+               r->idempotent);
   counter_add (COUNTER_target_sends_total, send_count);
   detach_send (t, s, ADMIT_CANCELLED);
   end_send (s, send_count > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, reason);
--- a/src/settings/catalogue.c
+++ b/src/settings/catalogue.c
@@ -39,6 +39,12 @@
 #undef COUNTER
 };
 
+static const struct counter_row durations[] = {
+#define DURATION(name, help) { #name, help },
+#include "base/durations.def"
+#undef DURATION
+};
+
 static void
 print_events (void)
 {
@@ -54,6 +60,9 @@
   printf ("| counter | meaning |\n| --- | --- |\n");
   for (size_t i = 0; i < sizeof counters / sizeof counters[0]; i++)
     printf ("| crocusbend_%s | %s |\n", counters[i].name, counters[i].help);
+  for (size_t i = 0; i < sizeof durations / sizeof durations[0]; i++)
+    printf ("| crocusbend_%s_us | summary: %s, microseconds |\n",
+            durations[i].name, durations[i].help);
 }
 
 static void
--- a/src/trace/story.c
+++ b/src/trace/story.c
@@ -85,7 +85,7 @@
           EV_ROUTES_IN_FORCE,  EV_LEFT,          EV_JOINED,
           EV_OWNERSHIP_WAITS,  EV_KEY_TOO_HOT,   EV_LINES_DROPPED,
           EV_CONSENT_STOOD_IN, EV_STOPPED,       EV_TERMS_CHANGED,
-          EV_TERMS_ADOPTED,    EV_TARGET_LEAVES };
+          EV_TERMS_ADOPTED,    EV_TARGET_LEAVES, EV_LOOP_BEHIND };
   for (size_t i = 0; i < G_N_ELEMENTS (state_events); i++)
     if ((long)state_events[i] == event)
       return true;
--- a/test/unit/test_mesh_offers.c
+++ b/test/unit/test_mesh_offers.c
@@ -289,7 +289,7 @@
       if (cases[i].cancel == MIDWAY)
         run_for (20);
       if (cases[i].cancel != NEVER)
-        assert_true (nodes_cancel (call));
+        assert_true (nodes_cancel (call, 0));
       run_for (QUIET_MS);
       assert_int_equal (done_count, cases[i].outcome != OUTCOME_PENDING);
       if (done_count > 0)
@@ -328,7 +328,8 @@
         send_frame (&peer->dialled, frame_offer (5, &request, &terms, 0, 0));
       for (unsigned n = 0; n < cases[i].requests; n++)
         {
-          send_frame (&peer->dialled, frame_request (5, &request, &terms, 0));
+          send_frame (&peer->dialled,
+                      frame_request (5, &request, &terms, 0, 0));
           run_for (20);
         }
       run_for (QUIET_MS);
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -319,7 +319,7 @@
       = { .known = true, .leaving = true, .target_id = "i-1" };
   struct frame f;
   (void)state;
-  GString *out = frame_request (77, &q, &terms, 500);
+  GString *out = frame_request (77, &q, &terms, 500, 0);
   assert_int_equal (frame_parse (out->str + FRAME_HEADER_BYTES,
                                  out->len - FRAME_HEADER_BYTES, &f),
                     STATUS_OK);
