--- /dev/null
+++ b/test/script/left.red
@@ -0,0 +1,1 @@
+^[-+].*: begun late [0-9]+(, some begun)?$
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -30,6 +30,10 @@
   CLOSE_RUNS_MAX = 100,
   STALLED_RUNS_MAX = 200,
   ENDLESS_CALLS = 100,
+  PAUSED_REQUESTS = 100, /* more than are in progress at once */
+  UNREAD_MS = 50,
+  NOTICE_RUNS = 4, /* of the loop, until a disconnection is noticed */
+  LARGE_MESSAGE_BYTES = 16 << 20, /* more than the kernel's buffers take */
   ENDLESS_BODY_BYTES = 100000,
   LOOP_RUN_MS = 60, /* enough for all traffic on loopback to arrive */
   FD_NONE = -1
@@ -242,6 +246,26 @@
   g_free (words[3]);
 }
 
+/* Send the text of word 1 and leave, by a reset if word 2 is "reset", while
+   the loop does not run.  */
+static void
+send_and_leave (struct server_test *test, int count, char **words)
+{
+  GString *text = g_string_new (NULL);
+  unescape (words[1], text);
+  send (test->fd, text->str, text->len, MSG_NOSIGNAL);
+  g_string_free (text, TRUE);
+  if (count > 2 && strcmp (words[2], "reset") == 0)
+    close_with_reset (test->fd);
+  else if (count > 2 && strcmp (words[2], "half") == 0)
+    shutdown (test->fd, SHUT_WR);
+  else
+    close (test->fd);
+  if (count <= 2 || strcmp (words[2], "half") != 0)
+    test->fd = FD_NONE;
+  usleep (UNREAD_MS * 1000);
+}
+
 static void
 connect_caller (struct server_test *test)
 {
@@ -293,6 +317,8 @@
   else if (strcmp (words[0], "pipeline") == 0)
     run_pipeline (test, script_word_number (words[1]),
                   script_word_number (words[2]));
+  else if (strcmp (words[0], "send-and-leave") == 0)
+    send_and_leave (test, count, words);
   else if (strcmp (words[0], "drain") == 0)
     http_server_drain (test->server);
   else if (strcmp (words[0], "sleep") == 0)
@@ -309,30 +335,102 @@
 }
 
 static void
-server_follows_script (void **state)
+server_test_begin (struct server_test *test)
 {
-  struct server_test test = {
+  *test = (struct server_test){
     .limits = { 512, 64, 1000, 5000 },
     .fd = FD_NONE,
   };
-  (void)state;
-  uv_loop_init (&test.loop);
-  strcpy (test.address.host, "127.0.0.1");
-  test.address.port = free_port ();
-  test.server = http_server_new (&test.loop, &test.address, &test.limits,
-                                 record_request, &test);
-  assert_non_null (test.server);
+  uv_loop_init (&test->loop);
+  strcpy (test->address.host, "127.0.0.1");
+  test->address.port = free_port ();
+  test->server = http_server_new (&test->loop, &test->address, &test->limits,
+                                  record_request, test);
+  assert_non_null (test->server);
   g_random_set_seed (1);
-  test.http_memory
-      = (struct http_memory){ &test, 2, reserve, count_bytes, retry_after };
-  http_server_set_memory (test.server, &test.http_memory);
+  test->http_memory
+      = (struct http_memory){ test, 2, reserve, count_bytes, retry_after };
+  http_server_set_memory (test->server, &test->http_memory);
+}
+
+static void
+server_test_end (struct server_test *test)
+{
+  if (test->fd != FD_NONE)
+    close (test->fd);
+  test->out = stderr;
+  http_server_close (test->server);
+  close_loop (&test->loop);
+}
+
+static void
+server_follows_script (void **state)
+{
+  struct server_test test;
+  (void)state;
+  server_test_begin (&test);
   assert_int_equal (
       script_run ("test/http/server.txt", run_server_command, &test), 0);
-  if (test.fd != FD_NONE)
-    close (test.fd);
-  test.out = stderr;
-  http_server_close (test.server);
-  close_loop (&test.loop);
+  server_test_end (&test);
+}
+
+/* Fault: a request is dispatched although its caller's disconnection has
+   arrived along with it.  */
+static void
+requests_of_callers_that_left_are_dropped (void **state)
+{
+  struct server_test test;
+  (void)state;
+  server_test_begin (&test);
+  assert_int_equal (
+      script_run ("test/http/left.txt", run_server_command, &test), 0);
+  server_test_end (&test);
+}
+
+static void
+count_disconnect (struct http_server_exchange *exchange)
+{
+  ++*(unsigned *)exchange->user_data;
+}
+
+/* Fault: while reading is paused, a caller's disconnection is not noticed, and
+   its requests run and are followed by further ones.  */
+static void
+paused_connections_notice_that_callers_leave (void **state)
+{
+  struct server_test test;
+  (void)state;
+  for (int with_reset = 0; with_reset < 2; with_reset++)
+    {
+      char *words[] = { "", "", "GET_/_HTTP/1.1|Host:_x||",
+                        g_strdup_printf ("%d", PAUSED_REQUESTS) };
+      unsigned left = 0;
+      server_test_begin (&test);
+      test.held = g_ptr_array_new ();
+      connect_caller (&test);
+      flood (&test.loop, test.fd, words);
+      run_loop (&test.loop);
+      guint in_progress = test.held->len;
+      assert_in_range (in_progress, 1, PAUSED_REQUESTS - 1);
+      for (guint i = 0; i < in_progress; i++)
+        {
+          struct http_server_exchange *x = g_ptr_array_index (test.held, i);
+          x->user_data = &left;
+          x->on_disconnect = count_disconnect;
+        }
+      if (with_reset)
+        close_with_reset (test.fd);
+      else
+        close (test.fd);
+      test.fd = FD_NONE;
+      for (int i = 0; i < NOTICE_RUNS; i++)
+        run_loop (&test.loop);
+      assert_int_equal (left, in_progress);
+      assert_int_equal (test.held->len, in_progress);
+      server_test_end (&test);
+      g_ptr_array_free (test.held, TRUE);
+      g_free (words[3]);
+    }
 }
 
 /* The client.  */
@@ -518,6 +616,42 @@
   *failed += response->result == HTTP_FAILED && response->unbounded;
 }
 
+/* Fault: what the kernel has not sent of a cancelled call is still delivered,
+   since its connection is closed in an orderly way.  */
+static void
+cancelled_calls_are_not_delivered (void **state)
+{
+  static char bytes[65536];
+  uv_loop_t loop;
+  struct settings_address address = { "127.0.0.1", free_port () };
+  struct sockaddr_in at = loopback (address.port);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int failed = 0;
+  ssize_t length;
+  (void)state;
+  uv_loop_init (&loop);
+  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
+  listen (listener, 1);
+  struct http_client *client = http_client_new (&loop, &address, 1);
+  struct http_call_options options
+      = { .done = count_failure, .arg = &failed, .timeout_ms = 5000 };
+  GString *message = g_string_new (NULL);
+  g_string_set_size (message, LARGE_MESSAGE_BYTES);
+  struct http_call *call = http_call (client, message, &options);
+  run_loop (&loop);
+  int fd = accept (listener, NULL, NULL);
+  http_call_cancel (call);
+  run_loop (&loop);
+  while ((length = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    ;
+  assert_int_equal (length, -1);
+  assert_int_equal (errno, ECONNRESET);
+  close (fd);
+  close (listener);
+  close_loop (&loop);
+  g_free (client);
+}
+
 /* Bodies without end from many targets at once are cut off: a target that goes
    on sending must find its connection closed.  */
 static void
@@ -567,6 +701,9 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (server_follows_script),
+    cmocka_unit_test (requests_of_callers_that_left_are_dropped),
+    cmocka_unit_test (paused_connections_notice_that_callers_leave),
+    cmocka_unit_test (cancelled_calls_are_not_delivered),
     cmocka_unit_test (client_follows_script),
     cmocka_unit_test (endless_responses_end),
   };
--- /dev/null
+++ b/test/unit/test_http.red
@@ -0,0 +1,3 @@
+requests_of_callers_that_left_are_dropped
+paused_connections_notice_that_callers_leave
+cancelled_calls_are_not_delivered
--- a/test/unit/test_mesh_offers.c
+++ b/test/unit/test_mesh_offers.c
@@ -1,4 +1,5 @@
-/* Tests of offers and parts between a node and a peer that the test plays.  */
+/* Tests of offers, parts and cancels between a node and a peer that the test
+ * plays.  */
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -20,7 +21,11 @@
   PORT_OFFSET = 940, /* from the run's first port */
   LINK_KBPS = 10000,
   BODY_BYTES = 100000,
-  QUIET_MS = 150 /* after which nothing more is expected */
+  QUIET_MS = 150, /* after which nothing more is expected */
+  START_MS = 10,  /* until a request starts */
+  HELD_MS = 1000,
+  UNSENT_REQUESTS = 200, /* more than the kernel's buffers take */
+  READ_ALL_MS = 500
 };
 
 enum when
@@ -148,6 +153,15 @@
   peer->done (peer->done_arg, &result);
 }
 
+static void
+cancel_request (void *arg, void *handle, int64_t left_ns)
+{
+  (void)arg;
+  (void)handle;
+  (void)left_ns;
+  uv_idle_stop (&peer->idle);
+}
+
 static void *
 run_request (void *arg, struct attempt_request *request, attempt_done *done,
              void *done_arg)
@@ -209,6 +223,7 @@
 {
   static const struct nodes_hooks hooks = { .fill_state = fill_state,
                                             .run_request = run_request,
+                                            .cancel_request = cancel_request,
                                             .check_offer = check_offer,
                                             .on_state = on_state };
   struct frame_node self = { .name = "node", .address.host = "127.0.0.1" };
@@ -342,12 +357,87 @@
     }
 }
 
+/* Send REQUEST, which was sent AGE_MS ago by its sender's word, as CALL_ID. */
+static void
+send_request (const struct attempt_request *request, uint64_t call_id,
+              int age_ms)
+{
+  struct target_terms terms = { .known = false };
+  send_frame (&peer->dialled,
+              frame_request (call_id, request, &terms, 0,
+                             clock_now_ns () - age_ms * NS_PER_MS));
+}
+
+/* Fault: a request starts although its cancel has arrived with it.  */
+static void
+cancels_overtake_requests_of_the_same_input (void **state)
+{
+  struct attempt_request request = new_request ();
+  (void)state;
+  set_up (20, LINK_KBPS);
+  for (uint64_t id = 1; id <= 20; id++)
+    {
+      send_request (&request, id, 0);
+      send_frame (&peer->dialled, frame_cancel (id, clock_now_ns ()));
+    }
+  run_for (QUIET_MS);
+  assert_int_equal (runs, 0);
+  send_request (&request, 21, 0);
+  run_for (START_MS);
+  assert_int_equal (runs, 1);
+  attempt_request_clear (&request);
+}
+
+/* Fault: a request that was held on its way starts before what was held
+   behind it, such as its cancel, has arrived.  */
+static void
+held_requests_wait_for_what_was_held_behind_them (void **state)
+{
+  struct attempt_request request = new_request ();
+  (void)state;
+  set_up (21, LINK_KBPS);
+  send_request (&request, 1, HELD_MS);
+  run_for (START_MS);
+  send_request (&request, 2, HELD_MS);
+  run_for (START_MS);
+  send_frame (&peer->dialled, frame_cancel (1, clock_now_ns ()));
+  run_for (START_MS);
+  assert_int_equal (runs, 0);
+  run_for (QUIET_MS);
+  assert_int_equal (runs, 1);
+  attempt_request_clear (&request);
+}
+
+/* Fault: a request that waits in this node's memory until the other node reads
+   is sent although it was cancelled.  */
+static void
+unsent_requests_are_taken_back (void **state)
+{
+  struct attempt_request request = new_request ();
+  unsigned sent = 0;
+  (void)state;
+  set_up (22, 0);
+  uv_read_stop ((uv_stream_t *)&peer->accepted);
+  for (; sent < UNSENT_REQUESTS; sent++)
+    assert_non_null (nodes_send (nodes, "peer", &request, on_done, NULL));
+  struct node_call *last = nodes_send (nodes, "peer", &request, on_done, NULL);
+  run_for (START_MS);
+  assert_true (nodes_cancel (last, clock_now_ns ()));
+  uv_read_start ((uv_stream_t *)&peer->accepted, net_alloc_buffer, on_read);
+  run_for (READ_ALL_MS);
+  assert_int_equal (peer->counts[FRAME_REQUEST], sent);
+  attempt_request_clear (&request);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (callers_know_what_did_not_run),
     cmocka_unit_test (nodes_run_what_they_admit_once),
+    cmocka_unit_test (cancels_overtake_requests_of_the_same_input),
+    cmocka_unit_test (held_requests_wait_for_what_was_held_behind_them),
+    cmocka_unit_test (unsent_requests_are_taken_back),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
