Count a caller's time from the arrival of its request

One that had waited to be read got its whole time anew, so the target's node, which refuses what is too late, could not see it: callers that stated 400 ms were served 1.3 s later, though they had given up.

Both programs count from the arrival of a request's last bytes, which the kernel tells; what is too late then is refused at once. left_node.test: 8 requests began late in one row before, 0 in all rows now. left.test: the rows of callers that stay had 3 and 3, now 0.

--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -65,7 +65,8 @@
   const struct route *route;
   const struct service_policy *service;
   struct attempt_request request;
-  int64_t arrived_ns;
+  int64_t arrived_ns; /* its last bytes */
+  int64_t dispatched_ns;
   int64_t sent_on_ns;       /* when it was last sent to a node; 0: not yet */
   int64_t first_ns;         /* the caller's first attempt */
   int64_t wait_until_ns;    /* the caller's own deadline */
@@ -138,7 +139,7 @@
              p->routes->version,
              (int)((p->arrived_ns - p->first_ns) / NS_PER_MS),
              (int)(r->service_time_ns / NS_PER_MS), p->request.content,
-             (int)((p->arrived_ns - p->exchange->arrived_ns) / NS_PER_MS));
+             (int)((p->dispatched_ns - p->arrived_ns) / NS_PER_MS));
 }
 
 static void
@@ -234,8 +235,8 @@
              "request=%s route=%s after_ms=%d sent=%u bytes_ms=%d "
              "sent_on_ms=%d left_ms=%d at=%s",
              p->request.id, p->route->name,
-             (int)((now_ns - p->arrived_ns) / NS_PER_MS), p->sends,
-             (int)((now_ns - exchange->arrived_ns) / NS_PER_MS),
+             (int)((now_ns - p->dispatched_ns) / NS_PER_MS), p->sends,
+             (int)((now_ns - p->arrived_ns) / NS_PER_MS),
              p->sent_on_ns == 0 ? -1
                                 : (int)((now_ns - p->sent_on_ns) / NS_PER_MS),
              (int)((now_ns - exchange->left_ns) / NS_PER_MS),
@@ -683,7 +684,8 @@
   p->route = route;
   p->service = &g_array_index (r->routes->services, struct service_policy,
                                route_pick_service (route));
-  p->arrived_ns = clock_now_ns ();
+  p->dispatched_ns = clock_now_ns ();
+  p->arrived_ns = exchange->arrived_ns;
   p->request.arrived_ns = exchange->arrived_ns;
   p->fingerprint = fingerprint_of (r, exchange);
   p->tried_targets = g_ptr_array_new_with_free_func (g_free);
--- a/src/route/callers.c
+++ b/src/route/callers.c
@@ -271,9 +271,28 @@
   return MHD_lookup_connection_value (x->connection, MHD_HEADER_KIND, name);
 }
 
+/* The socket of the caller of X, or -1.  */
+static int
+socket_of (const struct exchange *x)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  return info != NULL ? info->connect_fd : -1;
+}
+
+/* When the last bytes of X arrived.  Those of a request that waited behind
+   others of its connection may be older.  */
+static int64_t
+find_arrival_ns (const struct exchange *x, int64_t now_ns)
+{
+  struct net_peer_info info;
+  return net_get_peer_info (socket_of (x), &info) ? now_ns - info.data_age_ns
+                                                  : now_ns;
+}
+
 /* Fill R from the headers.  Returns an error message, or NULL.  */
 static const char *
-read_headers (struct exchange *x, struct request *r, int64_t now_ns)
+read_headers (struct exchange *x, struct request *r)
 {
   const struct settings *s = x->callers->settings;
   const char *type = find_header (x, "Content-Type");
@@ -299,7 +318,7 @@
   snprintf (r->organisation, sizeof r->organisation, "%s", organisation);
   snprintf (r->content_type, sizeof r->content_type, "%s",
             type != NULL ? type : "");
-  r->deadline_ns = now_ns + deadline_ms * NS_PER_MS;
+  r->deadline_ns = r->arrived_ns + deadline_ms * NS_PER_MS;
   return NULL;
 }
 
@@ -333,26 +352,8 @@
   r->body = x->body;
   r->body_length = x->body_length;
   x->body = NULL;
-  return read_headers (x, r, clock_now_ns ());
-}
-
-/* The socket of the caller of X, or -1.  */
-static int
-socket_of (const struct exchange *x)
-{
-  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  return info != NULL ? info->connect_fd : -1;
-}
-
-/* When the last bytes of X arrived.  Those of a request that waited behind
-   others of its connection may be older.  */
-static int64_t
-find_arrival_ns (const struct exchange *x, int64_t now_ns)
-{
-  struct net_peer_info info;
-  return net_get_peer_info (socket_of (x), &info) ? now_ns - info.data_age_ns
-                                                  : now_ns;
+  r->arrived_ns = find_arrival_ns (x, clock_now_ns ());
+  return read_headers (x, r);
 }
 
 static enum MHD_Result
