Reset the connections of calls that are cancelled at the target

A cancelled call closed its connection in an orderly way, so what lay unsent in the kernel was still delivered to a target that did not read, and the close after it: the request began, though it had been cancelled before.

Both programs reset the connection, which drops it.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -559,6 +559,18 @@
   return call;
 }
 
+/* Close C by a reset: what the kernel has not delivered yet is dropped.  */
+static void
+reset_connection (struct connection *c)
+{
+  struct linger without_delay = { .l_onoff = 1, .l_linger = 0 };
+  uv_os_fd_t fd;
+  if (c->connected && uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &without_delay,
+                sizeof without_delay);
+  close_connection (c);
+}
+
 void
 http_call_cancel (struct http_call *call)
 {
@@ -569,7 +581,7 @@
   else
     {
       c->call = NULL;
-      close_connection (c);
+      reset_connection (c);
     }
   call_free (call);
   start_queued_calls (client);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -81,7 +81,8 @@
 struct http_call *http_call (struct http_client *client, GString *message,
                              const struct http_call_options *options);
 
-/* Cancel CALL and close its connection, by which the server learns of it.  */
+/* Cancel CALL and reset its connection, by which the server learns of it.
+   What was not delivered yet is not delivered.  */
 void http_call_cancel (struct http_call *call);
 
 /* Close all connections.  Their calls end with CAUSE: as HTTP_NOT_SENT while
--- a/src/route/http_exchange.c
+++ b/src/route/http_exchange.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 enum
 {
@@ -242,6 +243,17 @@
   return true;
 }
 
+void
+http_exchange_reset (struct http_exchange *e)
+{
+  struct linger without_delay = { .l_onoff = 1, .l_linger = 0 };
+  curl_socket_t fd;
+  if (curl_easy_getinfo (e->easy, CURLINFO_ACTIVESOCKET, &fd) == CURLE_OK
+      && fd != CURL_SOCKET_BAD)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &without_delay,
+                sizeof without_delay);
+}
+
 void
 http_exchange_end (struct http_exchange *e, struct http_pool *pool)
 {
--- a/src/route/http_exchange.h
+++ b/src/route/http_exchange.h
@@ -54,6 +54,10 @@
 bool http_exchange_begin (struct http_exchange *e, struct http_pool *pool,
                           int64_t left_ms);
 
+/* Let the connection of E be closed by a reset when its handle is removed from
+   its multi handle: what was not delivered yet is not delivered.  */
+void http_exchange_reset (struct http_exchange *e);
+
 /* Return the handle to POOL; it must have been removed from its multi
    handle.  */
 void http_exchange_end (struct http_exchange *e, struct http_pool *pool);
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -360,6 +360,7 @@
                (int)((now_ns - s->started_ns) / NS_PER_MS), send_count,
                r->idempotent);
   counter_add (COUNTER_target_sends_total, send_count);
+  http_exchange_reset (&s->http);
   detach_send (t, s, ADMIT_CANCELLED);
   end_send (s, send_count > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, reason);
 }
--- a/test/unit/test_http.red
+++ /dev/null
@@ -1,1 +0,0 @@
-cancelled_calls_are_not_delivered
