Ask for a caller's end before its request is tried again

A request that waits for an owner, or is tried at another node, is sent again from a timer or a result, while its caller's end may be unread on its own connection, behind the loop or a pause.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -535,6 +535,18 @@
     uv_timer_stop (&c->timer);
 }
 
+bool
+http_caller_is_there (struct http_server_exchange *exchange)
+{
+  struct connection *c = ((struct request *)exchange)->connection;
+  struct net_peer_info info;
+  if (!net_get_stream_peer_info ((const uv_stream_t *)&c->tcp, &info)
+      || !info.left)
+    return true;
+  close_connection (c);
+  return false;
+}
+
 /* Pass complete requests to the handler, which may respond at once and so
    close the connection.  */
 static void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -69,6 +69,12 @@
    waits for the response.  */
 void http_server_serve_left (struct http_server *server);
 
+/* Whether the caller of EXCHANGE is still there.  If not, its connection is
+   closed, and ON_DISCONNECT has been called for its exchanges: EXCHANGE must
+   not be used any more.  It asks the kernel, for work that begins later than
+   the exchange.  */
+bool http_caller_is_there (struct http_server_exchange *exchange);
+
 /* Respond to EXCHANGE with STATUS, HEADER_LINES (may be NULL) and BODY.  The
    exchange must not be used afterwards.  */
 void http_respond (struct http_server_exchange *exchange, int status,
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -270,10 +270,18 @@
                   (uint64_t)(ms > 0 ? ms : 0) + ATTEMPT_ANSWER_SLACK_MS, 0);
 }
 
+/* Try a target once more, unless the caller has left, which may be unread.  */
+static void
+try_again (struct pending *p)
+{
+  if (http_caller_is_there (p->exchange))
+    try_target (p);
+}
+
 static void
 on_retry_timer (uv_timer_t *timer)
 {
-  try_target (timer->data);
+  try_again (timer->data);
 }
 
 static void
@@ -392,7 +400,7 @@
   if (!keyed && p->refusals < REFUSALS_MAX && now_ns < p->request.deadline_ns)
     {
       g_ptr_array_add (p->tried_targets, g_strdup (p->node_name));
-      try_target (p);
+      try_again (p);
       return;
     }
   finish_not_run (p, r->reason, r->retry_after_ns);
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -319,6 +319,16 @@
                   script_word_number (words[2]));
   else if (strcmp (words[0], "send-and-leave") == 0)
     send_and_leave (test, count, words);
+  else if (strcmp (words[0], "leave-and-ask") == 0)
+    {
+      struct http_server_exchange *x
+          = test->exchanges[script_word_number (words[1])];
+      fprintf (out, "%s\n", http_caller_is_there (x) ? "there" : "gone");
+      close (test->fd);
+      test->fd = FD_NONE;
+      usleep (UNREAD_MS * 1000);
+      fprintf (out, "%s\n", http_caller_is_there (x) ? "there" : "gone");
+    }
   else if (strcmp (words[0], "drain") == 0)
     http_server_drain (test->server);
   else if (strcmp (words[0], "sleep") == 0)
