End the lookups of a request that is cancelled at the target

A target that makes lookups for a request sends them as a caller of its own node. When the request was cancelled, as its caller had left, its lookups went on until their own time was over: other targets worked for nobody.

--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -1029,6 +1029,7 @@
       counter_add (COUNTER_target_cancelled_total, 1);
       http_call_cancel (job->call);
       end_call (job, false, 0);
+      g->hooks.request_cut (g->hooks.arg, job->request.id);
       job_free (job);
       run_queue (g);
     }
--- a/src/mesh/egress.h
+++ b/src/mesh/egress.h
@@ -46,6 +46,8 @@
   /* A request for KEY was sent to the target, or has ended there.  */
   void (*key_request_started) (void *arg, int32_t key);
   void (*key_request_ended) (void *arg, int32_t key);
+  /* The request ID was cancelled at the target, while it ran.  */
+  void (*request_cut) (void *arg, const char *id);
   /* The target refused a request because it is another process, or does not
      hold KEY.  */
   void (*key_refused) (void *arg, int32_t key);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -520,6 +520,13 @@
   return egress_send (m->egress, request, done, done_arg, clock_now_ns ());
 }
 
+static void
+request_cut (void *arg, const char *id)
+{
+  struct mesh *m = arg;
+  router_end_lookups (m->router, id);
+}
+
 static bool
 check_offer (void *arg, const struct attempt_request *request,
              const struct lineup_arrival *arrival,
@@ -819,6 +826,7 @@
     .check_key = check_key,
     .key_request_started = on_key_request_started,
     .key_request_ended = on_key_request_ended,
+    .request_cut = request_cut,
     .key_refused = on_key_refused,
     .connection_refused = on_connection_refused,
     .target_leaves = on_target_leaves,
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -790,6 +790,31 @@
     end_early (link->data, REASON_DRAINING);
 }
 
+static struct pending *
+find_lookup (const struct router *r, const char *id)
+{
+  size_t length = strlen (id);
+  for (GList *l = r->pending.head; l != NULL; l = l->next)
+    {
+      struct pending *p = l->data;
+      if (strncmp (p->request.id, id, length) == 0
+          && p->request.id[length] == '.')
+        return p;
+    }
+  return NULL;
+}
+
+void
+router_end_lookups (struct router *r, const char *id)
+{
+  struct pending *p;
+  while ((p = find_lookup (r, id)) != NULL)
+    {
+      counter_add (COUNTER_lookups_ended_total, 1);
+      end_early (p, REASON_CALLER_GONE);
+    }
+}
+
 void
 router_set_routes (struct router *r, struct routes *routes)
 {
--- a/src/mesh/router.h
+++ b/src/mesh/router.h
@@ -49,6 +49,10 @@
 void router_handle_request (void *router,
                             struct http_server_exchange *exchange);
 
+/* End the lookups that this node's target makes for the request ID, which was
+   cancelled there: they have the ids ID.NUMBER.  */
+void router_end_lookups (struct router *r, const char *id);
+
 /* Called every BALANCE_DECAY_INTERVAL_MS.  NODES: the number of nodes that
    share the retry budgets, including this one and those that cannot be
    reached.  */
