node: read leavings and cancels before requests are passed on

A pipelined request whose caller had left was routed, as its leaving was read by another thread; the messages of other nodes were handled one by one, a request before the cancel behind it; and a cancelled request that must not run twice was cut at the target, though it had begun.

The router asks the kernel for a caller's end before each attempt; requests of other nodes are passed to the target after all messages were read that there are; what must not run twice goes on once it was sent, as in the mesh. left_node.test: of 3 POST requests whose callers closed 0 went on to their end before, 3 now.

--- a/src/route/peers.c
+++ b/src/route/peers.c
@@ -21,6 +21,9 @@
 {
   INBOX_ITEMS_PER_REQUEST = 4,
   MESSAGES_PER_ROUND = 64, /* received from one socket */
+  /* The same for messages of other nodes: all that a stall leaves, so that
+     cancels are read before their requests are passed on.  */
+  REQUESTS_PER_ROUND = 4096,
   PENDING_POLL_MS = 2,
   BUSY_POLL_MS = 10,
   IDLE_POLL_MS = 1000,
@@ -126,8 +129,23 @@
   o->attempt = a;
   g_hash_table_add (p->origins, o);
   counter_add (COUNTER_requests_from_peers_total, 1);
-  if (target_submit (p->target, a) != STATUS_OK)
-    attempt_fail (a, OUTCOME_NOT_RUN, REASON_OWNER_BUSY);
+  g_queue_push_tail (&p->arrived, a);
+}
+
+/* Pass on the requests that have arrived, but for those whose cancels arrived
+   with them.  */
+static void
+submit_arrived (struct peers *p)
+{
+  struct attempt *a;
+  while ((a = g_queue_pop_head (&p->arrived)) != NULL)
+    if (attempt_is_cancelled (a))
+      {
+        counter_add (COUNTER_peer_cancelled_unstarted_total, 1);
+        attempt_fail (a, OUTCOME_NOT_RUN, REASON_CALLER_GONE);
+      }
+    else if (target_submit (p->target, a) != STATUS_OK)
+      attempt_fail (a, OUTCOME_NOT_RUN, REASON_OWNER_BUSY);
 }
 
 static void
@@ -287,15 +305,16 @@
 static void
 receive_router (struct peers *p)
 {
-  for (unsigned i = 0; i < MESSAGES_PER_ROUND; i++)
+  for (unsigned i = 0; i < REQUESTS_PER_ROUND; i++)
     {
       zmq_msg_t parts[3];
       unsigned received = receive_parts (p->router_socket, parts, 3);
       if (received == 0)
-        return;
+        break;
       dispatch_router_parts (p, parts, received);
       close_parts (parts, received, 3);
     }
+  submit_arrived (p);
 }
 
 static void
--- a/src/route/peers_parts.h
+++ b/src/route/peers_parts.h
@@ -46,6 +46,7 @@
   GHashTable *links;     /* struct link by address */
   GHashTable *origins;   /* set of struct origin: requests of other nodes that
                             run here */
+  GQueue arrived;        /* struct attempt of other nodes, not passed on yet */
   GArray *poll_items;    /* of zmq_pollitem_t */
   GPtrArray *poll_links; /* links of the items after the fixed ones */
   uint64_t next_message_id;
--- a/src/route/router.c
+++ b/src/route/router.c
@@ -171,10 +171,56 @@
   c->retry_at_ns = at_ns;
 }
 
+/* How long ago the last segment of the caller of C arrived, which closed or
+   reset its connection.  */
+static int64_t
+left_age_ns (const struct call *c)
+{
+  struct net_peer_info info;
+  return net_get_peer_info (c->fd, &info) ? info.segment_age_ns : 0;
+}
+
+static void
+on_hangup (struct router *r, struct call *c)
+{
+  int64_t now_ns = clock_now_ns ();
+  int64_t unread_ns = left_age_ns (c);
+  counter_add (COUNTER_callers_gone_total, 1);
+  duration_add (DURATION_caller_left_unread, unread_ns);
+  log_event (
+      EV_CALLER_GONE,
+      "request=%016" PRIx64 " after_ms=%d sent_on_ms=%d left_ms=%d at=%s",
+      c->request->id, (int)((now_ns - c->request->arrived_ns) / NS_PER_MS),
+      c->attempt == NULL
+          ? -1
+          : (int)((now_ns - c->attempt->started_ns) / NS_PER_MS),
+      (int)(unread_ns / NS_PER_MS),
+      c->attempt == NULL          ? "-"
+      : c->attempt->owner.is_self ? "self"
+                                  : c->attempt->owner.peer_address);
+  enum outcome outcome
+      = c->attempt != NULL ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+  finish_unanswered (r, c, outcome, REASON_CALLER_GONE);
+}
+
+/* Whether the caller of C has left, which wait_events may not have read yet.
+ */
+static bool
+has_left (const struct call *c)
+{
+  struct net_peer_info info;
+  return net_get_peer_info (c->fd, &info) && info.left;
+}
+
 static void
 start_attempt (struct router *r, struct call *c, int64_t now_ns)
 {
   struct owner owner;
+  if (has_left (c))
+    {
+      on_hangup (r, c);
+      return;
+    }
   if (!map_has_view (r->map) && c->owner_lookups >= NO_VIEW_LOOKUPS_MAX)
     {
       /* With the store up, a node has a view sooner than this after its start:
@@ -348,38 +394,6 @@
     }
 }
 
-/* How long ago the last segment of the caller of C arrived, which closed or
-   reset its connection.  */
-static int64_t
-left_age_ns (const struct call *c)
-{
-  struct net_peer_info info;
-  return net_get_peer_info (c->fd, &info) ? info.segment_age_ns : 0;
-}
-
-static void
-on_hangup (struct router *r, struct call *c)
-{
-  int64_t now_ns = clock_now_ns ();
-  int64_t unread_ns = left_age_ns (c);
-  counter_add (COUNTER_callers_gone_total, 1);
-  duration_add (DURATION_caller_left_unread, unread_ns);
-  log_event (
-      EV_CALLER_GONE,
-      "request=%016" PRIx64 " after_ms=%d sent_on_ms=%d left_ms=%d at=%s",
-      c->request->id, (int)((now_ns - c->request->arrived_ns) / NS_PER_MS),
-      c->attempt == NULL
-          ? -1
-          : (int)((now_ns - c->attempt->started_ns) / NS_PER_MS),
-      (int)(unread_ns / NS_PER_MS),
-      c->attempt == NULL          ? "-"
-      : c->attempt->owner.is_self ? "self"
-                                  : c->attempt->owner.peer_address);
-  enum outcome outcome
-      = c->attempt != NULL ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
-  finish_unanswered (r, c, outcome, REASON_CALLER_GONE);
-}
-
 static void
 wait_events (struct router *r)
 {
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -365,6 +365,15 @@
   end_send (s, send_count > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, reason);
 }
 
+/* Whether S was cancelled and may be aborted: what must not run twice goes on
+   once it was sent.  */
+static bool
+is_to_be_aborted (const struct send *s)
+{
+  return attempt_is_cancelled (s->attempt)
+         && (s->attempt->request->idempotent || s->http.send_count == 0);
+}
+
 /* Abort the sends that were cancelled, and all sends when the lease has
    expired.  */
 static void
@@ -377,7 +386,7 @@
   for (struct send *s = t->active.first; s != NULL; s = next)
     {
       next = s->next;
-      if (attempt_is_cancelled (s->attempt))
+      if (is_to_be_aborted (s))
         abort_send (t, s, REASON_CALLER_GONE);
       else if (expired)
         abort_send (t, s, REASON_LEASE_LAPSED);
