Do not hold requests that came in parts; log a request's deadlines

A large request is stamped when its first part is queued, so its age at the end is that of its transfer. It was taken for one that was held on its way and waited up to 500 ms more. requests_in_parts_start_at_once failed before (0 runs within 10 ms) and passes.

CALLER_GONE and REQUEST_CANCELLED also tell how long the work may still take and how long the caller said that it waits.

--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -996,14 +996,14 @@
 record_left (const struct egress_job *job, int64_t left_ns, int64_t now_ns)
 {
   const struct attempt_request *r = &job->request;
-  log_event (EV_REQUEST_CANCELLED,
-             "request=%s target=%s sent_on_ms=%d arrived_ms=%d started_ms=%d "
-             "left_ms=%d idempotent=%d",
-             r->id, job->egress->view.id,
-             attempt_age_ms (r->sent_on_ns, now_ns),
-             attempt_age_ms (r->arrived_ns, now_ns),
-             attempt_age_ms (job->sent_ns, now_ns),
-             attempt_age_ms (left_ns, now_ns), r->idempotent);
+  log_event (
+      EV_REQUEST_CANCELLED,
+      "request=%s target=%s sent_on_ms=%d arrived_ms=%d started_ms=%d "
+      "left_ms=%d deadline_ms=%d idempotent=%d",
+      r->id, job->egress->view.id, attempt_age_ms (r->sent_on_ns, now_ns),
+      attempt_age_ms (r->arrived_ns, now_ns),
+      attempt_age_ms (job->sent_ns, now_ns), attempt_age_ms (left_ns, now_ns),
+      (int)((r->deadline_ns - now_ns) / NS_PER_MS), r->idempotent);
   if (job->sent_ns <= left_ns)
     return;
   counter_add (COUNTER_target_sends_left_total, 1);
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -95,6 +95,7 @@
   bool has_node;
   struct frame_state state;       /* STATE, RESULT */
   uint64_t call_id;               /* REQUEST, CANCEL, RESULT */
+  bool in_parts;                  /* REQUEST: it arrived in parts */
   struct attempt_request request; /* REQUEST; times on the receiver's clock */
   int64_t left_ns;                /* CANCEL: when the caller left; 0: it did
                                      not, or not known */
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -118,6 +118,7 @@
   struct attempt_request request; /* until it is started */
   GList arrived_link;             /* in the nodes' list until then */
   bool started;
+  bool in_parts; /* the age of its frame is that of its transfer */
   uint32_t priority;
   int64_t soft_deadline_ns;
   void *handle;
@@ -499,7 +500,8 @@
 must_wait (const struct inbound_job *job, int64_t now_ns)
 {
   const struct attempt_request *r = &job->request;
-  return r->sent_on_ns != 0 && r->arrived_ns - r->sent_on_ns >= HELD_AGE_NS
+  return !job->in_parts && r->sent_on_ns != 0
+         && r->arrived_ns - r->sent_on_ns >= HELD_AGE_NS
          && now_ns - job->inbound->read_ns < HELD_QUIET_NS
          && now_ns - r->arrived_ns < HELD_WAIT_MAX_NS;
 }
@@ -567,10 +569,11 @@
   job->soft_deadline_ns = f->request.soft_deadline_ns;
   counter_add (COUNTER_requests_from_peers_total, 1);
   f->request.arrived_ns = clock_now_ns ();
-  if (f->request.sent_on_ns != 0)
+  if (f->request.sent_on_ns != 0 && !f->in_parts)
     duration_add (DURATION_peer_request_age,
                   f->request.arrived_ns - f->request.sent_on_ns);
   g_hash_table_replace (in->jobs, &job->call_id, job);
+  job->in_parts = f->in_parts;
   job->request = f->request;
   f->request.head = NULL;
   f->request.body = NULL;
@@ -892,6 +895,7 @@
     return refuse_frame (status_message ());
   if (f.kind == FRAME_PART)
     return refuse_frame ("part within a part");
+  f.in_parts = true;
   count_assembled (link, data->len);
   bool valid = process_whole_frame (link, &f);
   release_memory (link->nodes, link->reserved);
--- a/src/mesh/router.c
+++ b/src/mesh/router.c
@@ -233,12 +233,14 @@
   int64_t now_ns = clock_now_ns ();
   log_event (EV_CALLER_GONE,
              "request=%s route=%s after_ms=%d sent=%u bytes_ms=%d "
-             "sent_on_ms=%d left_ms=%d at=%s",
+             "sent_on_ms=%d left_ms=%d deadline_ms=%d wait_ms=%d at=%s",
              p->request.id, p->route->name,
              (int)((now_ns - p->dispatched_ns) / NS_PER_MS), p->sends,
              (int)((now_ns - p->arrived_ns) / NS_PER_MS),
              attempt_age_ms (p->sent_on_ns, now_ns),
              (int)((now_ns - exchange->left_ns) / NS_PER_MS),
+             (int)((p->request.deadline_ns - now_ns) / NS_PER_MS),
+             (int)((p->wait_until_ns - p->arrived_ns) / NS_PER_MS),
              p->node_name == NULL ? "-" : p->node_name);
   cancel_attempt (p, exchange->left_ns);
   pending_free (p);
--- a/test/unit/test_mesh_offers.c
+++ b/test/unit/test_mesh_offers.c
@@ -408,6 +408,24 @@
   attempt_request_clear (&request);
 }
 
+/* Fault: a request whose transfer took long is taken for one that was held. */
+static void
+requests_in_parts_start_at_once (void **state)
+{
+  struct attempt_request request = new_request ();
+  struct target_terms terms = { .known = false };
+  (void)state;
+  set_up (23, LINK_KBPS);
+  GString *frame = frame_request (1, &request, &terms, 0,
+                                  clock_now_ns () - HELD_MS * NS_PER_MS);
+  send_frame (&peer->dialled,
+              frame_part (1, PART_FIRST | PART_LAST, frame->str, frame->len));
+  run_for (START_MS);
+  assert_int_equal (runs, 1);
+  g_string_free (frame, TRUE);
+  attempt_request_clear (&request);
+}
+
 /* Fault: a request that waits in this node's memory until the other node reads
    is sent although it was cancelled.  */
 static void
@@ -437,6 +455,7 @@
     cmocka_unit_test (nodes_run_what_they_admit_once),
     cmocka_unit_test (cancels_overtake_requests_of_the_same_input),
     cmocka_unit_test (held_requests_wait_for_what_was_held_behind_them),
+    cmocka_unit_test (requests_in_parts_start_at_once),
     cmocka_unit_test (unsent_requests_are_taken_back),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
