Keep contents at several ends in the quarantine when it is full

The oldest content was forgotten first, whatever it was: eight ends of targets with 64 contents each pushed out one at three ends, which was then sent to targets again.

Now the oldest of those at one end goes first, as long as there are more than 64 of them, so that further contents are still learned. ends_of_others_do_not_lift_a_refusal failed before and passes; fatal_content and the bound on the memory as before.

--- a/src/limit/quarantine.c
+++ b/src/limit/quarantine.c
@@ -6,7 +6,10 @@
 enum
 {
   ALONE_ENDS_MIN = 2,
-  REFUSED_ENDS_MIN = 3
+  REFUSED_ENDS_MIN = 3,
+  /* Contents at one end that are kept when others need their place: as many as
+     one end has.  */
+  SINGLE_ENDS_KEPT = 64
 };
 
 struct quarantine
@@ -46,21 +49,37 @@
   return NULL;
 }
 
+/* The entry that is forgotten for another one: the oldest of those at one end,
+   which most harmless contents are, unless they are few.  */
+static guint
+find_replaceable (const struct quarantine *q)
+{
+  guint oldest = 0;
+  guint oldest_single = 0;
+  guint singles = 0;
+  for (guint i = 0; i < q->entries->len; i++)
+    {
+      const struct quarantine_entry *e = entry_at (q, i);
+      if (e->last_end_ns < entry_at (q, oldest)->last_end_ns)
+        oldest = i;
+      if (e->end_count >= ALONE_ENDS_MIN)
+        continue;
+      if (singles++ == 0
+          || e->last_end_ns < entry_at (q, oldest_single)->last_end_ns)
+        oldest_single = i;
+    }
+  return singles > SINGLE_ENDS_KEPT ? oldest_single : oldest;
+}
+
 /* Add an entry without ends for the content of FROM.  */
 static struct quarantine_entry *
 add (struct quarantine *q, const struct quarantine_entry *from)
 {
-  guint oldest = 0;
   struct quarantine_entry entry = { .content = from->content };
   g_strlcpy (entry.label, from->label, sizeof entry.label);
   g_strlcpy (entry.caller, from->caller, sizeof entry.caller);
   if (q->entries->len == QUARANTINE_ENTRIES_MAX)
-    {
-      for (guint i = 1; i < q->entries->len; i++)
-        if (entry_at (q, i)->last_end_ns < entry_at (q, oldest)->last_end_ns)
-          oldest = i;
-      g_array_remove_index_fast (q->entries, oldest);
-    }
+    g_array_remove_index_fast (q->entries, find_replaceable (q));
   g_array_append_val (q->entries, entry);
   return entry_at (q, q->entries->len - 1);
 }
--- a/test/unit/test_limit_quarantine.c
+++ b/test/unit/test_limit_quarantine.c
@@ -24,6 +24,7 @@
   HARMLESS = 40,
   FATAL = 1000, /* the content that ends targets */
   LATER_RUNS_MAX = 3,
+  CONTENTS_PER_END = 64,
   ROUNDS = 3000
 };
 
@@ -111,6 +112,27 @@
   quarantine_free (q);
 }
 
+/* Fault: a content that is refused is forgotten as targets end for other
+   reasons, each with as many contents as one end may have.  */
+static void
+ends_of_others_do_not_lift_a_refusal (void **state)
+{
+  (void)state;
+  struct quarantine *q = quarantine_new ();
+  for (uint32_t process = 0; process < 3; process++)
+    add_end (q, FATAL, process, process);
+  for (uint32_t i = 0; i < 2 * QUARANTINE_ENTRIES_MAX; i++)
+    add_end (q, FATAL + 1 + i, 3 + i / CONTENTS_PER_END, 3 + i);
+  assert_int_equal (quarantine_check (q, FATAL, NS_PER_S), QUARANTINE_REFUSED);
+  assert_int_equal (quarantine_count (q), QUARANTINE_ENTRIES_MAX);
+  /* A further content is still learned.  */
+  for (uint32_t process = 100; process < 103; process++)
+    add_end (q, FATAL - 1, process, NS_PER_S + process);
+  assert_int_equal (quarantine_check (q, FATAL - 1, 2 * NS_PER_S),
+                    QUARANTINE_REFUSED);
+  quarantine_free (q);
+}
+
 /* Many nodes.  Random requests run at targets, some at once; one content ends
    each target.  Nodes tell each other within CONTACT_NS, but some are cut off
    or start anew for a while.  */
@@ -336,6 +358,7 @@
     cmocka_unit_test (three_ends_are_refused_for_the_term),
     cmocka_unit_test (an_answer_voids_earlier_ends),
     cmocka_unit_test (memory_is_bounded),
+    cmocka_unit_test (ends_of_others_do_not_lift_a_refusal),
     cmocka_unit_test (more_ends_explain_those_of_others),
     cmocka_unit_test (harmless_request_at_three_ends_is_refused),
     cmocka_unit_test (fatal_content_is_kept_from_targets),
