Share the code that runs work after the next poll; split open_modules

nodes.c and egress.c had the same check and idle handles; open_modules had grown beyond the linter's bound.

--- a/src/http/poll_clock.c
+++ b/src/http/poll_clock.c
@@ -40,3 +40,36 @@
 {
   return now_ns - c->polled_ns;
 }
+
+static void
+on_idle (uv_idle_t *idle)
+{
+  (void)idle;
+}
+
+static void
+on_after_poll (uv_check_t *check)
+{
+  struct after_poll *a = check->data;
+  uv_check_stop (check);
+  uv_idle_stop (&a->idle);
+  a->run (a->arg);
+}
+
+void
+after_poll_init (struct after_poll *a, uv_loop_t *loop, after_poll_fn *run,
+                 void *arg)
+{
+  uv_check_init (loop, &a->check);
+  uv_idle_init (loop, &a->idle);
+  a->check.data = a;
+  a->run = run;
+  a->arg = arg;
+}
+
+void
+after_poll_schedule (struct after_poll *a)
+{
+  uv_check_start (&a->check, on_after_poll);
+  uv_idle_start (&a->idle, on_idle);
+}
--- a/src/http/poll_clock.h
+++ b/src/http/poll_clock.h
@@ -32,4 +32,21 @@
 /* How long the loop has not polled.  */
 int64_t poll_clock_busy_ns (const struct poll_clock *c, int64_t now_ns);
 
+/* Work that runs once the loop has read all input that there is.  */
+typedef void after_poll_fn (void *arg);
+struct after_poll
+{
+  uv_check_t check; /* active while the work is due */
+  uv_idle_t idle;   /* the same: the loop does not sleep meanwhile */
+  after_poll_fn *run;
+  void *arg;
+};
+
+void after_poll_init (struct after_poll *a, uv_loop_t *loop,
+                      after_poll_fn *run, void *arg);
+
+/* Run it once after the next poll.  Within a callback for input that is this
+   poll.  */
+void after_poll_schedule (struct after_poll *a);
+
 #endif
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -57,10 +57,9 @@
   struct target_view view;
   uv_timer_t queue_timer;
   struct poll_clock poll_clock;
-  uv_check_t queue_check; /* active while the queue runs after the next poll */
-  uv_idle_t queue_idle;   /* the same: the loop does not sleep meanwhile */
-  uv_idle_t refusal_idle; /* active while REFUSED_JOBS is not empty */
-  GQueue refused_jobs;    /* jobs whose refusal is not yet reported */
+  struct after_poll queue_run; /* run_queue_now */
+  uv_idle_t refusal_idle;      /* active while REFUSED_JOBS is not empty */
+  GQueue refused_jobs;         /* jobs whose refusal is not yet reported */
   double failure_rate;
   int64_t failure_rate_ns; /* when FAILURE_RATE was updated */
   int64_t shutdown_ns;     /* when this node stops; INT64_MAX: not known */
@@ -726,8 +725,9 @@
 }
 
 static void
-run_queue_now (struct egress *g)
+run_queue_now (void *arg)
 {
+  struct egress *g = arg;
   int64_t now_ns = clock_now_ns ();
   struct lineup_decision d;
   while ((d = lineup_next (g->lineup, now_ns)).verdict != LINEUP_NOTHING)
@@ -741,21 +741,6 @@
   arm_queue_timer (g, now_ns);
 }
 
-static void
-on_queue_idle (uv_idle_t *idle)
-{
-  (void)idle;
-}
-
-static void
-on_queue_check (uv_check_t *check)
-{
-  struct egress *g = check->data;
-  uv_check_stop (check);
-  uv_idle_stop (&g->queue_idle);
-  run_queue_now (g);
-}
-
 /* Start what can be started.  If the loop was behind, the cancels of waiting
    requests may be unread: they are read first.  */
 static void
@@ -766,8 +751,7 @@
       run_queue_now (g);
       return;
     }
-  uv_check_start (&g->queue_check, on_queue_check);
-  uv_idle_start (&g->queue_idle, on_queue_idle);
+  after_poll_schedule (&g->queue_run);
 }
 
 static void
@@ -808,10 +792,8 @@
   g_queue_init (&g->refused_jobs);
   uv_timer_init (loop, &g->queue_timer);
   uv_idle_init (loop, &g->refusal_idle);
-  uv_check_init (loop, &g->queue_check);
-  uv_idle_init (loop, &g->queue_idle);
+  after_poll_init (&g->queue_run, loop, run_queue_now, g);
   poll_clock_init (&g->poll_clock, loop);
-  g->queue_check.data = g;
   g->queue_timer.data = g;
   g->refusal_idle.data = g;
   return g;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -814,14 +814,10 @@
 
 /* Starting.  */
 
-static enum status
-open_modules (struct mesh *m)
+static struct egress *
+open_egress (struct mesh *m)
 {
-  struct settings *s = m->settings;
-  struct crashes_deps crashes_deps
-      = { &m->loop, m->dialect, s, on_connection_refused, m };
-  m->crashes = crashes_new (&crashes_deps);
-  struct egress_hooks egress_hooks = {
+  struct egress_hooks hooks = {
     .arg = m,
     .check_key = check_key,
     .key_request_started = on_key_request_started,
@@ -835,7 +831,13 @@
     .cold_changed = on_cold_changed,
     .crashes = m->crashes,
   };
-  struct nodes_hooks nodes_hooks = {
+  return egress_open (&m->loop, m->dialect, m->settings, &hooks);
+}
+
+static struct nodes *
+open_nodes (struct mesh *m)
+{
+  struct nodes_hooks hooks = {
     .arg = m,
     .fill_state = fill_state,
     .run_request = run_request,
@@ -847,9 +849,19 @@
     .on_handover = on_handover,
     .memory = m->memory.limit == 0 ? NULL : &m->http_memory,
   };
-  m->egress = egress_open (&m->loop, m->dialect, s, &egress_hooks);
+  return nodes_open (&m->loop, &m->self, m->settings->link_kbps, &hooks);
+}
+
+static enum status
+open_modules (struct mesh *m)
+{
+  struct settings *s = m->settings;
+  struct crashes_deps crashes_deps
+      = { &m->loop, m->dialect, s, on_connection_refused, m };
+  m->crashes = crashes_new (&crashes_deps);
+  m->egress = open_egress (m);
   m->owners = owners_new ();
-  m->nodes = nodes_open (&m->loop, &m->self, s->link_kbps, &nodes_hooks);
+  m->nodes = open_nodes (m);
   crashes_set_nodes (m->crashes, m->nodes);
   m->worker = store_worker_start (m->dialect->open_store (s));
   if (m->nodes == NULL || m->worker == NULL)
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -5,6 +5,7 @@
 #include "base/duration.h"
 #include "base/log.h"
 #include "http/net.h"
+#include "http/poll_clock.h"
 #include "limit/link.h"
 #include "mesh/admissions.h"
 #include "mesh/assembly.h"
@@ -142,17 +143,14 @@
   /* Requests of other nodes that are not started yet: they start after all
      input that has arrived with them was read, so that their cancels overtake
      them.  */
-  GQueue arrived;           /* struct inbound_job */
-  uv_check_t arrived_check; /* active while there are some */
-  uv_idle_t arrived_idle;   /* the same: the loop does not sleep meanwhile */
-  uv_timer_t held_timer;    /* active while some wait for input */
+  GQueue arrived;          /* struct inbound_job */
+  struct after_poll start; /* start_arrived */
+  uv_timer_t held_timer;   /* active while some wait for input */
   uint64_t last_call_id;
   uint64_t last_document; /* number of the last stream of a document */
 };
 
 static void dial_later (struct peer *peer);
-static void on_arrived_check (uv_check_t *check);
-static void on_arrived_idle (uv_idle_t *idle);
 static void on_held_timer (uv_timer_t *timer);
 
 /* Links.  */
@@ -507,8 +505,9 @@
 }
 
 static void
-start_arrived (struct nodes *p)
+start_arrived (void *arg)
 {
+  struct nodes *p = arg;
   GList *next;
   int64_t now_ns = clock_now_ns ();
   for (GList *l = p->arrived.head; l != NULL; l = next)
@@ -527,33 +526,11 @@
                     HELD_CHECK_MS);
 }
 
-/* Start what has arrived after the next poll.  */
-static void
-start_after_poll (struct nodes *p)
-{
-  uv_check_start (&p->arrived_check, on_arrived_check);
-  uv_idle_start (&p->arrived_idle, on_arrived_idle);
-}
-
-static void
-on_arrived_idle (uv_idle_t *idle)
-{
-  (void)idle;
-}
-
-static void
-on_arrived_check (uv_check_t *check)
-{
-  struct nodes *p = check->data;
-  uv_check_stop (check);
-  uv_idle_stop (&p->arrived_idle);
-  start_arrived (p);
-}
-
 static void
 on_held_timer (uv_timer_t *timer)
 {
-  start_after_poll (timer->data);
+  struct nodes *p = timer->data;
+  after_poll_schedule (&p->start);
 }
 
 static void
@@ -579,7 +556,7 @@
   f->request.body = NULL;
   job->arrived_link.data = job;
   g_queue_push_tail_link (&p->arrived, &job->arrived_link);
-  start_after_poll (p);
+  after_poll_schedule (&p->start);
 }
 
 static void
@@ -1206,10 +1183,8 @@
   p->listener.data = p;
   uv_timer_init (loop, &p->state_timer);
   p->state_timer.data = p;
-  uv_check_init (loop, &p->arrived_check);
-  uv_idle_init (loop, &p->arrived_idle);
+  after_poll_init (&p->start, loop, start_arrived, p);
   uv_timer_init (loop, &p->held_timer);
-  p->arrived_check.data = p;
   p->held_timer.data = p;
   uv_timer_start (&p->state_timer, on_state_timer, STATE_INTERVAL_MS, 0);
   return p;
