Replace a guardian at once that this member guards itself

Two members lost some seconds after two others had returned could stay members for good, their keys unserved. While members choose their guardians anew, one may be the first guardian of its own first or second guardian; if both are lost, nobody is left who may declare them dead. A member in such a pair waited 2 to 4 s, or 0.5 to 1 s for its second guardian, before it chose another one.

--- a/src/own/agent_plan.c
+++ b/src/own/agent_plan.c
@@ -115,6 +115,17 @@
   return g != NULL && g->state == MEMBER_LEAVING;
 }
 
+/* Whether this member is the first guardian of GUARDIAN, one of its own: if
+   both were lost, nobody could declare them dead.  Unavoidable in a cell of
+   two.  */
+static bool
+guards (const struct agent *a, uint32_t guardian)
+{
+  const struct cell_member *g = cell_member (a->cell, guardian);
+  return g != NULL && g->guardian == a->self
+         && a->cell->member_count > PAIR_MEMBERS;
+}
+
 static bool
 guardian_due (const struct agent *a, int64_t now_ns)
 {
@@ -126,7 +137,9 @@
   if (guardian_lost (a, now_ns))
     return place_guardian (a->cell, a->self, member, &member->guardian, 1)
            != member->guardian;
-  return a->guardian_suboptimal && now_ns >= a->next_guardian_change_ns
+  return a->guardian_suboptimal
+         && (now_ns >= a->next_guardian_change_ns
+             || guards (a, a->ward_state.guardian))
          && agent_has_lease (a, now_ns);
 }
 
@@ -178,7 +191,8 @@
 {
   const struct cell_member *member = agent_own_member (a);
   if (member->guardian == 0 || a->leave_requested
-      || member->state != MEMBER_ACTIVE || now_ns < a->next_second_change_ns
+      || member->state != MEMBER_ACTIVE
+      || (now_ns < a->next_second_change_ns && !guards (a, member->second))
       || a->ward_state.unanswered >= UNRESPONSIVE_RENEWALS_MIN
       || !agent_has_lease (a, now_ns))
     return false;
--- a/test/unit/test_own_world.c
+++ b/test/unit/test_own_world.c
@@ -27,6 +27,7 @@
 enum
 {
   SLOTS = 64,
+  RETURN_SEEDS = 100,
   DRIFT_PPM = 4900 /* the rates of two clocks differ by less than 1 % */
 };
 
@@ -497,6 +498,36 @@
   store_lost_while_guardians_change (true);
 }
 
+/* Fault: two members are lost for good, since one is the first guardian of the
+   other and guarded by it, so that nobody can declare them dead.  This came
+   about in the seconds after two members had returned, in which the members
+   choose their guardians anew.  */
+static void
+two_lost_after_two_returned (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= RETURN_SEEDS; seed++)
+    {
+      struct world *w = make_world (seed, 6, 3);
+      world_kill (w, 1);
+      world_kill (w, 2);
+      world_run (w, world_now (w) + 3 * NS_PER_S);
+      world_restart (w, 1);
+      world_restart (w, 2);
+      world_run (w, world_now (w) + NS_PER_S
+                        + (int64_t)world_random (w, 3 * NS_PER_S));
+      uint32_t first = (uint32_t)world_random (w, 6);
+      world_kill (w, first);
+      world_kill (w, (first + 1 + (uint32_t)world_random (w, 5)) % 6);
+      world_run (w, world_now (w) + 10 * NS_PER_S);
+      if (world_count_unserved (w) > 0)
+        fail_msg ("seed %llu: %u slots unserved", (unsigned long long)seed,
+                  world_count_unserved (w));
+      assert_no_violation (w);
+      world_free (w);
+    }
+}
+
 static void
 member_leaves (void **state)
 {
@@ -880,6 +911,7 @@
     cmocka_unit_test (loss_while_store_is_down),
     cmocka_unit_test (store_down_while_guardians_change),
     cmocka_unit_test (store_cut_while_guardians_change),
+    cmocka_unit_test (two_lost_after_two_returned),
     cmocka_unit_test (member_leaves),
     cmocka_unit_test (leaving_member_takes_no_requests),
     cmocka_unit_test (all_leave_and_one_joins),
