--- a/src/route/callers.c
+++ b/src/route/callers.c
@@ -370,9 +370,8 @@
   x->call.done = on_call_done;
   x->call.context = x;
   counter_add (COUNTER_requests_total, 1);
-  int64_t now_ns = clock_now_ns ();
-  x->call.request->arrived_ns = find_arrival_ns (x, now_ns);
-  duration_add (DURATION_request_held, now_ns - x->call.request->arrived_ns);
+  duration_add (DURATION_request_held,
+                clock_now_ns () - x->call.request->arrived_ns);
   /* Suspended first: the router may end the call before router_submit
      returns.  */
   MHD_suspend_connection (x->connection);
