--- a/src/http/client.c
+++ b/src/http/client.c
@@ -563,11 +563,9 @@
 static void
 reset_connection (struct connection *c)
 {
-  struct linger without_delay = { .l_onoff = 1, .l_linger = 0 };
   uv_os_fd_t fd;
   if (c->connected && uv_fileno ((const uv_handle_t *)&c->tcp, &fd) == 0)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &without_delay,
-                sizeof without_delay);
+    net_reset_at_close (fd);
   close_connection (c);
 }
 
--- a/src/http/net.c
+++ b/src/http/net.c
@@ -115,6 +115,13 @@
          && net_get_peer_info (fd, info);
 }
 
+void
+net_reset_at_close (int fd)
+{
+  struct linger without_delay = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
+}
+
 void
 net_set_options (uv_tcp_t *tcp, unsigned silence_timeout_ms)
 {
--- a/src/http/net.h
+++ b/src/http/net.h
@@ -42,6 +42,10 @@
 bool net_get_stream_peer_info (const uv_stream_t *stream,
                                struct net_peer_info *info);
 
+/* Let the close of the connection FD reset it: what was not delivered yet is
+   dropped.  */
+void net_reset_at_close (int fd);
+
 /* Set TCP_NODELAY and, unless SILENCE_TIMEOUT_MS is 0, let the kernel close
    the connection when the peer is silent for that long (TCP_USER_TIMEOUT and
    keep-alive probes).  */
--- a/src/route/http_exchange.c
+++ b/src/route/http_exchange.c
@@ -1,6 +1,7 @@
 #include "route/http_exchange.h"
 #include "base/clock.h"
 #include "http/bounds.h"
+#include "http/net.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -8,7 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
 
 enum
 {
@@ -246,12 +246,10 @@
 void
 http_exchange_reset (struct http_exchange *e)
 {
-  struct linger without_delay = { .l_onoff = 1, .l_linger = 0 };
   curl_socket_t fd;
   if (curl_easy_getinfo (e->easy, CURLINFO_ACTIVESOCKET, &fd) == CURLE_OK
       && fd != CURL_SOCKET_BAD)
-    setsockopt (fd, SOL_SOCKET, SO_LINGER, &without_delay,
-                sizeof without_delay);
+    net_reset_at_close (fd);
 }
 
 void
