--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of this folder start, below target/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+make B=target OPT=-O2 -j8 target/standin_platform
+mkdir -p target/review
+for name in upstream caller; do
+  ${CC:-gcc} -std=gnu11 -O2 -Wall -Wextra -D_GNU_SOURCE \
+    -o "target/review/$name" "review/standin/$name.c"
+done
