--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,7 +7,7 @@
 start_store
 for n in 1 2; do
   write_settings $n keyed
-  start_upstream $n keyed i-keyed-$n --sharded
+  start_upstream $n keyed i-keyed-$n --sharded --brief
   start_node $n
 done
 configure 2
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,6 @@
 # Builds the stand-ins that the scripts of this folder start, below target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-make B=target OPT=-O2 -j8 target/standin_platform
 mkdir -p target/review
 for name in upstream caller store; do
   # shellcheck disable=SC2046
--- a/review/standin/upstream.c
+++ b/review/standin/upstream.c
@@ -1,7 +1,7 @@
 /* A stand-in for one upstream of the users' platform, on 127.0.0.1.
 
    upstream --port P --control P --service NAME --id ID --record FILE
-            [--slots N] [--sharded] [--beat-ms N]
+            [--slots N] [--sharded] [--beat-ms N] [--brief]
 
    It serves one request at a time on a connection and answers a request after
    "ms" milliseconds of its query (default 20).  With --sharded it runs a
@@ -27,7 +27,8 @@
                           the keys of that release
 
    Every event is one line of FILE: milliseconds of the machine's monotonic
-   clock, the id of this upstream, the event and its details.  */
+   clock, the id of this upstream, the event and its details.  With --brief
+   grants that renew others are left out.  */
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -93,6 +94,7 @@
 static int slots = 9;
 static int beat_ms = 500;
 static bool sharded;
+static bool brief;
 static bool beats = true;
 static const char *state = "ready";
 static long sequence;
@@ -317,8 +319,9 @@
       is_new = is_new || keys[k].until_ms <= now_ms ();
       keys[k] = (struct held_key){ now_ms () + hold_ms, fence };
     }
-  record ("%s from=%d to=%d fence=%ld hold_ms=%ld",
-          is_new ? "granted" : "renewed", from, to, fence, hold_ms);
+  if (is_new || !brief)
+    record ("%s from=%d to=%d fence=%ld hold_ms=%ld",
+            is_new ? "granted" : "renewed", from, to, fence, hold_ms);
   answer (c, 200, "", "");
 }
 
@@ -655,6 +658,7 @@
           { "slots", required_argument, NULL, 'n' },
           { "beat-ms", required_argument, NULL, 'b' },
           { "sharded", no_argument, NULL, 'k' },
+          { "brief", no_argument, NULL, 'q' },
           { NULL, 0, NULL, 0 } };
   int option;
   signal (SIGPIPE, SIG_IGN);
@@ -669,6 +673,7 @@
       case 'n': slots = (int)strtol (optarg, NULL, 10); break;
       case 'b': beat_ms = (int)strtol (optarg, NULL, 10); break;
       case 'k': sharded = true; break;
+      case 'q': brief = true; break;
       default: return 2;
       }
   for (int i = 0; i < CONNECTIONS_MAX; i++)
