Tell when a configuration was announced, confirmed and in force

Nodes that watch the store report with their state when it last confirmed their version. Each node logs who announced a version and for how long the version before had not been confirmed, warns when no node has confirmed its version for the bound, and names its sources in its metrics. Three histograms hold the lateness.

A wait without events confirms the state at its end, as the store answers when the wait is over.

--- a/src/mesh/frame.c
+++ b/src/mesh/frame.c
@@ -69,7 +69,7 @@
 {
   NODE_ITEMS = 6,
   STATE_ITEMS = 11,
-  STATE_EXTRA_ITEMS = 5,
+  STATE_EXTRA_ITEMS = 8,
   REQUEST_ITEMS = 10,
   RESULT_ITEMS = 10,
   HANDOVER_ITEMS = 3
@@ -110,7 +110,8 @@
 has_extra (const struct frame_state *s)
 {
   return s->evacuations.version != 0 || s->load.link_kbps != 0
-         || s->load.link_wait_ms != 0 || s->load.pace_pct != 0;
+         || s->load.link_wait_ms != 0 || s->load.pace_pct != 0
+         || s->confirmed.clock_ns != 0;
 }
 
 /* The last item of a frame, an array, because nodes of earlier versions ignore
@@ -126,6 +127,9 @@
   put_uint (w, s->load.link_kbps);
   put_uint (w, s->load.link_wait_ms);
   put_uint (w, s->load.pace_pct);
+  put_int (w, s->confirmed.clock_ns);
+  put_int (w, s->confirmed.revision);
+  put_uint (w, s->confirmed.era);
 }
 
 /* Bits of the first item of a target's terms, which is the only one unless the
@@ -452,6 +456,12 @@
   s->load.link_kbps = read_u32 (&extra);
   s->load.link_wait_ms = read_u32 (&extra);
   s->load.pace_pct = read_u32 (&extra);
+  if (extra.next < extra.end)
+    {
+      s->confirmed.clock_ns = read_int (&extra);
+      s->confirmed.revision = read_int (&extra);
+      s->confirmed.era = read_u32 (&extra);
+    }
   r->valid = r->valid && extra.valid;
 }
 
--- a/src/mesh/frame.h
+++ b/src/mesh/frame.h
@@ -69,6 +69,16 @@
   uint64_t digest;  /* equal for equal sets */
 };
 
+/* What the store told the sender of a state itself: at CLOCK_NS, on the
+   sender's clock, it had no version of the configuration that is newer than
+   the sender's.  That one has all changes up to REVISION of the store.  */
+struct frame_confirmation
+{
+  int64_t clock_ns; /* 0: nothing, the sender does not watch the store */
+  int64_t revision;
+  uint32_t era; /* of the store, see store/store.h */
+};
+
 /* The state that a node reports.  */
 struct frame_state
 {
@@ -78,6 +88,7 @@
   uint64_t routes_version;
   uint32_t cell_serial; /* of its service's ownership document; 0: none */
   struct evacuations_stamp evacuations;
+  struct frame_confirmation confirmed;
 };
 
 struct frame_handover
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -17,6 +17,7 @@
 #include "mesh/owners.h"
 #include "mesh/pack.h"
 #include "mesh/router.h"
+#include "mesh/sources.h"
 #include "mesh/spread.h"
 #include "mesh/watch_rank.h"
 #include "mesh/watcher.h"
@@ -102,6 +103,7 @@
   uv_signal_t sighup;
   struct spread *spread;
   struct zone_gate *zone_gate;
+  struct sources *sources;
   bool target_restarted;       /* since the keys were last joined */
   int64_t routes_requested_ns; /* when the configuration was last requested
                                   from a node */
@@ -192,6 +194,7 @@
   state->routes_version = r == NULL ? 0 : r->version;
   state->cell_serial = keys_serial (m->keys);
   zone_gate_fill_state (m->zone_gate, state);
+  sources_fill_state (m->sources, state);
 }
 
 /* The target.  */
@@ -449,10 +452,13 @@
   char *counters = counter_export ();
   char *latencies = router_metrics (m->router);
   char *zones = zone_gate_metrics (m->zone_gate);
+  char *sources = sources_metrics (
+      m->sources, m->watcher != NULL && watcher_is_healthy (m->watcher));
   char *durations = duration_export ();
   GString *out = g_string_new (counters);
   g_string_append (out, latencies);
   g_string_append (out, zones);
+  g_string_append (out, sources);
   g_string_append (out, durations);
   http_respond (exchange, 200, "Content-Type: text/plain; version=0.0.4\r\n",
                 out->str, out->len);
@@ -460,6 +466,7 @@
   free (counters);
   g_free (latencies);
   g_free (zones);
+  g_free (sources);
   free (durations);
 }
 
@@ -483,10 +490,14 @@
       return;
     }
   r->packed = pack (text, length);
+  struct confirm_delay delay
+      = sources_on_applied (m->sources, r->version, clock_now_ns ());
   log_event (EV_ROUTES_IN_FORCE,
-             "version=%" PRIu64 " before=%" PRIu64 " routes=%u from=%s",
-             r->version, old == NULL ? 0 : old->version, r->entries->len,
-             from);
+             "version=%" PRIu64 " before=%" PRIu64 " routes=%u from=%s"
+             " late_ms_max=%d announced_ms=%d",
+             r->version, old == NULL ? 0 : old->version, r->entries->len, from,
+             (int)(delay.late_ns / NS_PER_MS),
+             (int)(delay.announced_ns / NS_PER_MS));
   m->limits = r->limits;
   http_client_set_body_max (egress_http_client (m->egress),
                             r->limits.body_bytes_max);
@@ -632,6 +643,7 @@
       m->routes_requested_ns = now_ns;
       nodes_request_document (m->nodes, &node->address, FRAME_DOCUMENT_ROUTES);
     }
+  sources_on_state (m->sources, node, state, now_ns);
   zone_gate_on_state (m->zone_gate, node, state);
   spread_on_notice (m->spread, node, state->cell_serial);
 }
@@ -654,6 +666,14 @@
   store_job_free (job);
 }
 
+static void
+on_store_confirmation (struct mesh *m, struct watch_update *w)
+{
+  sources_on_store (m->sources, w, clock_now_ns ());
+  if (w->zones != NULL)
+    zone_gate_on_store (m->zone_gate, w);
+}
+
 static void
 process_messages (struct mesh *m)
 {
@@ -664,10 +684,10 @@
     else
       {
         struct watch_update *w = (struct watch_update *)message;
-        if (w->zones != NULL)
-          zone_gate_on_store (m->zone_gate, w);
-        else
+        if (w->text != NULL)
           apply_routes (m, w->text, w->length, "store");
+        else
+          on_store_confirmation (m, w);
         watch_update_free (w);
       }
 }
@@ -737,6 +757,7 @@
   int64_t now_ns = clock_now_ns ();
   uint32_t known = nodes_count_known (m->nodes, now_ns - SHARE_NODES_SPAN_NS);
   update_watch (m);
+  sources_tick (m->sources, now_ns);
   crashes_tick (m->crashes, now_ns);
   zone_gate_tick (m->zone_gate, known > 1);
   spread_retry (m->spread);
@@ -867,6 +888,7 @@
   if (m->nodes == NULL || m->worker == NULL)
     return STATUS_SYSTEM;
   m->spread = spread_new (s, m->nodes, m->owners);
+  m->sources = sources_new (s, m->nodes);
   struct keys_deps keys_deps = { &m->loop,
                                  m->dialect,
                                  s,
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -54,22 +54,32 @@
   inbox_put_blocking (w->inbox, update);
 }
 
-/* Report the zones, for which the store was asked at ASKED_NS.  */
-static void
-post_zones (struct watcher *w, int64_t asked_ns)
+static GPtrArray *
+copy_zones (const struct watcher *w)
 {
-  struct watch_update *update = calloc (1, sizeof *update);
+  GPtrArray *zones = g_ptr_array_new_with_free_func (g_free);
   GHashTableIter iter;
   gpointer name;
+  g_hash_table_iter_init (&iter, w->zones);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_ptr_array_add (zones, g_strdup (name));
+  return zones;
+}
+
+/* Report that all changes up to the revision that was seen are known.  */
+static void
+post_confirmation (struct watcher *w, int64_t asked_ns, int64_t confirmed_ns)
+{
+  struct watch_update *update = calloc (1, sizeof *update);
   if (update == NULL)
     abort ();
   update->header.kind = INBOX_MESSAGE_NOTICE;
   update->revision = w->seen_revision;
   update->asked_ns = asked_ns;
-  update->zones = g_ptr_array_new_with_free_func (g_free);
-  g_hash_table_iter_init (&iter, w->zones);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
-    g_ptr_array_add (update->zones, g_strdup (name));
+  update->confirmed_ns = confirmed_ns;
+  update->era = w->store->era;
+  if (w->prefix != NULL)
+    update->zones = copy_zones (w);
   inbox_put_blocking (w->inbox, update);
 }
 
@@ -87,14 +97,14 @@
 }
 
 static void
-on_poll (void *arg, int64_t revision, int64_t asked_ns)
+on_poll (void *arg, const struct store_poll *poll)
 {
   struct watcher *w = arg;
   w->backoff_ms = BACKOFF_MIN_MS;
   ck_pr_store_32 (&w->healthy, 1);
-  if (revision > w->seen_revision)
-    w->seen_revision = revision;
-  post_zones (w, asked_ns);
+  if (poll->revision > w->seen_revision)
+    w->seen_revision = poll->revision;
+  post_confirmation (w, poll->asked_ns, poll->confirmed_ns);
 }
 
 static bool
@@ -156,12 +166,11 @@
   int64_t asked_ns = clock_now_ns ();
   if (!read_key (w))
     return false;
-  if (w->prefix == NULL)
-    return true;
   g_hash_table_remove_all (w->zones);
-  if (w->store->ops->list (w->store, w->prefix, on_listed, w) != STATUS_OK)
+  if (w->prefix != NULL
+      && w->store->ops->list (w->store, w->prefix, on_listed, w) != STATUS_OK)
     return false;
-  post_zones (w, asked_ns);
+  post_confirmation (w, asked_ns, asked_ns);
   return true;
 }
 
@@ -226,7 +235,7 @@
   w->prefix = g_strdup (prefix);
   w->watched = prefix == NULL ? g_strdup (key) : common_prefix (key, prefix);
   w->zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  if (st != NULL && prefix != NULL)
+  if (st != NULL)
     st->on_poll = on_poll;
   w->inbox = inbox;
   w->backoff_ms = BACKOFF_MIN_MS;
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -12,18 +12,20 @@
 
 struct watcher;
 
-/* A new value of the key, or the evacuated zones; freed with
+/* A new value of the key, or what the store confirmed; freed with
    watch_update_free.  */
 struct watch_update
 {
   struct inbox_header header; /* INBOX_MESSAGE_NOTICE */
-  char *text;                 /* NULL: the zones are reported */
+  char *text;                 /* NULL: all changes up to REVISION are known */
   size_t length;
   int64_t revision;
-  /* What follows the prefix in its keys, as of REVISION; the store was asked
-     at ASKED_NS.  */
+  /* What follows the prefix in its keys, as of REVISION; NULL without a
+     prefix.  The store was asked at ASKED_NS.  */
   GPtrArray *zones;
   int64_t asked_ns;
+  int64_t confirmed_ns; /* up to when there were no further changes */
+  uint32_t era;         /* of the store */
 };
 
 /* Watch KEY in ST, which the watcher owns, and put every new value into INBOX.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -75,6 +75,14 @@
   void (*free) (struct store *st);
 };
 
+/* An answered wait of a watch: all changes up to REVISION were delivered.  */
+struct store_poll
+{
+  int64_t revision;
+  int64_t asked_ns;
+  int64_t confirmed_ns; /* up to when there were no further changes */
+};
+
 /* The first member of every store.  A store is used by one thread at a time;
    each thread that calls the platform's store has its own client.  */
 struct store
@@ -83,10 +91,12 @@
   /* Reads and lists may return a state that is seconds old, at a lower price.
      Stores may ignore it.  */
   bool may_read_stale;
-  /* Called with the argument of the watch after each answered wait, which was
-     asked for at ASKED_NS: all changes up to REVISION were delivered.  NULL:
+  /* Called with the argument of the watch after each answered wait.  NULL:
      not called.  Only stores that watch by long polls call it.  */
-  void (*on_poll) (void *arg, int64_t revision, int64_t asked_ns);
+  void (*on_poll) (void *arg, const struct store_poll *poll);
+  /* The last that the store stated; 0: none.  It rises when the store comes
+     back from an older copy, with revisions that it has given before.  */
+  uint32_t era;
 };
 
 /* A compare-and-swap whose value contains CHANGE_ID, a unique text.  Later
