Let each node know when its configuration was last confirmed by the store

Callers were refused for seconds by versions that operators had replaced. A node without a watch of its own took it for granted that the nodes that watch are heard of for as long as they are connected, which lasts three intervals of states: 4.7 s at 75 nodes, against 2 s to 2.5 s for a version. The four watchers were the first by name, and so in one zone.

Now a node counts the time since a node that watches reported that the store confirmed its version. After half to three fifths of the bound it watches the store itself, whatever became of its sources. One node of each group within a zone watches, so that no zone or name decides for others.

--- a/src/mesh/confirm.h
+++ b/src/mesh/confirm.h
@@ -6,6 +6,11 @@
    with their state.  One of an older version than that in force holds for the
    newer one too.
 
+   The nodes of a zone, or in a large zone of a part of it, form a group.  One
+   of the group watches the store and reports to the others after each wait.  A
+   node whose version was not confirmed for the time to ask watches the store
+   itself, whatever the reason, and is a source for its group from then on.
+
    Does no I/O and reads no clock.  */
 
 #ifndef MESH_CONFIRM_H
@@ -42,6 +47,50 @@
   int64_t announced_ns; /* since it was announced; 0: it was not */
 };
 
+/* From the time within which a version must be in force.  */
+struct confirm_times
+{
+  int64_t wait_ns; /* longest wait of a watch of the store */
+  /* Age of the last confirmation from which a node asks the store: the first
+     one of its group, and the last one.  */
+  int64_t ask_min_ns;
+  int64_t ask_max_ns;
+};
+
+/* What a node knows of its group.  */
+struct confirm_group
+{
+  const char *own_name;
+  unsigned parts;      /* of its zone */
+  unsigned nodes;      /* of the group, with this one */
+  unsigned earlier;    /* of these, those before this one */
+  bool earlier_source; /* one of those confirmed its version recently */
+};
+
+struct confirm_times confirm_times (uint32_t apply_ms);
+
+/* The number of groups of a zone with so many nodes.  */
+unsigned confirm_parts (unsigned zone_nodes);
+
+/* Whether two nodes of a zone are in one group.  */
+bool confirm_same_group (const char *a, const char *b, unsigned parts);
+
+/* Count the node NAME of the same zone; CONFIRMED_NS: its own last
+   confirmation, on this node's clock; 0: it does not watch the store.  */
+void confirm_group_add (struct confirm_group *g, const char *name,
+                        int64_t confirmed_ns, const struct confirm_times *t,
+                        int64_t now_ns);
+
+/* The age of the last confirmation from which this node asks the store.  */
+int64_t confirm_ask_ns (const struct confirm_group *g,
+                        const struct confirm_times *t);
+
+/* Whether this node is to watch the store; WATCHES: it does now.  */
+bool confirm_should_watch (const struct confirm *c,
+                           const struct confirm_group *g,
+                           const struct confirm_times *t, bool watches,
+                           int64_t now_ns);
+
 /* Add the confirmation N; OWN: this node made it.  */
 void confirm_add (struct confirm *c, const struct confirmation *n, bool own);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -19,7 +19,6 @@
 #include "mesh/router.h"
 #include "mesh/sources.h"
 #include "mesh/spread.h"
-#include "mesh/watch_rank.h"
 #include "mesh/watcher.h"
 #include "mesh/zone_gate.h"
 #include "settings/address.h"
@@ -59,8 +58,6 @@
 #define STOP_DELAY_NS (2500 * NS_PER_MS)
 /* A loop that has not read its input for this long is reported.  */
 #define LOOP_BEHIND_NS (200 * NS_PER_MS)
-/* Minimum time between two requests for the configuration.  */
-#define FETCH_INTERVAL_NS (100 * NS_PER_MS)
 /* Limits on callers' requests before the first configuration.  */
 #define INITIAL_LIMITS                                                        \
   {                                                                           \
@@ -104,10 +101,8 @@
   struct spread *spread;
   struct zone_gate *zone_gate;
   struct sources *sources;
-  bool target_restarted;       /* since the keys were last joined */
-  int64_t routes_requested_ns; /* when the configuration was last requested
-                                  from a node */
-  int64_t stopping_ns;         /* when the node began to stop; 0: it runs */
+  bool target_restarted; /* since the keys were last joined */
+  int64_t stopping_ns;   /* when the node began to stop; 0: it runs */
   bool was_ready;
   struct memory memory;
   struct http_memory http_memory; /* hooks to MEMORY */
@@ -635,15 +630,7 @@
           const struct frame_state *state)
 {
   struct mesh *m = arg;
-  const struct routes *r = router_routes (m->router);
-  int64_t now_ns = clock_now_ns ();
-  if (state->routes_version > (r == NULL ? 0 : r->version)
-      && now_ns >= m->routes_requested_ns + FETCH_INTERVAL_NS)
-    {
-      m->routes_requested_ns = now_ns;
-      nodes_request_document (m->nodes, &node->address, FRAME_DOCUMENT_ROUTES);
-    }
-  sources_on_state (m->sources, node, state, now_ns);
+  sources_on_state (m->sources, node, state, clock_now_ns ());
   zone_gate_on_state (m->zone_gate, node, state);
   spread_on_notice (m->spread, node, state->cell_serial);
 }
@@ -720,43 +707,12 @@
     }
 }
 
-struct rank_scan
-{
-  const char *name; /* of this node */
-  struct watch_rank rank;
-};
-
-static bool
-count_node (void *arg, const struct node_view *view)
-{
-  struct rank_scan *scan = arg;
-  watch_rank_count (&scan->rank, scan->name, view->node->name,
-                    view->state->watch_healthy);
-  return true;
-}
-
-static void
-update_watch (struct mesh *m)
-{
-  struct rank_scan scan = {
-    m->settings->name,
-    { .nodes = 1, .may_suspend = m->settings->reduce_store_calls },
-  };
-  nodes_visit (m->nodes, count_node, &scan);
-  m->dialect->set_watch_timeout (m->watch_store,
-                                 watch_rank_wait_ms (&scan.rank));
-  watcher_suspend (m->watcher,
-                   !watch_rank_should_watch (
-                       &scan.rank, !watcher_is_suspended (m->watcher)));
-}
-
 static void
 on_load_timer (uv_timer_t *timer)
 {
   struct mesh *m = timer->data;
   int64_t now_ns = clock_now_ns ();
   uint32_t known = nodes_count_known (m->nodes, now_ns - SHARE_NODES_SPAN_NS);
-  update_watch (m);
   sources_tick (m->sources, now_ns);
   crashes_tick (m->crashes, now_ns);
   zone_gate_tick (m->zone_gate, known > 1);
@@ -873,6 +829,16 @@
   return nodes_open (&m->loop, &m->self, m->settings->link_kbps, &hooks);
 }
 
+static void
+set_store_watch (void *arg, bool watch, const struct confirmation *known)
+{
+  struct mesh *m = arg;
+  if (watch)
+    watcher_resume (m->watcher, known->revision, known->era);
+  else
+    watcher_suspend (m->watcher);
+}
+
 static enum status
 open_modules (struct mesh *m)
 {
@@ -888,7 +854,9 @@
   if (m->nodes == NULL || m->worker == NULL)
     return STATUS_SYSTEM;
   m->spread = spread_new (s, m->nodes, m->owners);
-  m->sources = sources_new (s, m->nodes);
+  struct sources_deps sources_deps
+      = { &m->loop, s, m->nodes, m, set_store_watch };
+  m->sources = sources_new (&sources_deps);
   struct keys_deps keys_deps = { &m->loop,
                                  m->dialect,
                                  s,
@@ -1018,6 +986,7 @@
   if (s == STATUS_OK)
     {
       m.watch_store = dialect->open_store (settings);
+      dialect->set_watch_timeout (m.watch_store, sources_wait_ms (m.sources));
       m.watcher = watcher_start (m.watch_store, dialect->configuration_key,
                                  settings->evacuation_close_ms == 0
                                      ? NULL
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -1241,6 +1241,7 @@
 {
   view->node = &peer->node;
   view->state = &peer->state;
+  view->clock_offset_ns = peer->clock_offset_ns;
   view->sent_since_report = peer->sent_since_report;
   view->bytes_since_report = peer->bytes_since_report;
 }
@@ -1456,3 +1457,18 @@
 {
   broadcast (p, p->self.zone);
 }
+
+void
+nodes_broadcast_group_state (struct nodes *p, nodes_filter *is_member,
+                             void *arg)
+{
+  struct frame_state state;
+  fill_state (p, &state);
+  for (GList *l = p->inbounds.head; l != NULL; l = l->next)
+    {
+      struct inbound *in = l->data;
+      if (in->state_sent && strcmp (p->self.zone, in->zone) == 0
+          && is_member (arg, in->name))
+        link_send (in->link, frame_state (&p->self, false, &state));
+    }
+}
--- a/src/mesh/nodes.h
+++ b/src/mesh/nodes.h
@@ -22,6 +22,7 @@
 {
   const struct frame_node *node;
   const struct frame_state *state;
+  int64_t clock_offset_ns;     /* lower bound of its clock minus this one's */
   uint32_t sent_since_report;  /* requests sent to it since that state */
   uint64_t bytes_since_report; /* of their bodies, of those over
                                   LINK_SMALL_BYTES */
@@ -133,4 +134,9 @@
 void nodes_broadcast_state (struct nodes *p);
 void nodes_broadcast_zone_state (struct nodes *p);
 
+/* The same, to the nodes of the own zone for which IS_MEMBER returns true.  */
+typedef bool nodes_filter (void *arg, const char *name);
+void nodes_broadcast_group_state (struct nodes *p, nodes_filter *is_member,
+                                  void *arg);
+
 #endif
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -25,8 +25,10 @@
   struct inbox *inbox;
   int64_t seen_revision; /* latest revision of the store that was seen */
   uint32_t backoff_ms;
-  pthread_mutex_t lock; /* for RESUMED */
+  pthread_mutex_t lock; /* for RESUMED and the next two */
   pthread_cond_t resumed;
+  int64_t known_revision; /* of the last resumption */
+  uint32_t known_era;
   int suspended;
   uint32_t healthy;
   pthread_t thread;
@@ -174,14 +176,24 @@
   return true;
 }
 
-static void
+/* Wait until the watch is resumed.  Whether it can go on from a revision that
+   is known; the zones are only known from the store.  */
+static bool
 wait_until_resumed (struct watcher *w)
 {
   ck_pr_store_32 (&w->healthy, 0);
   pthread_mutex_lock (&w->lock);
   while (ck_pr_load_int (&w->suspended) != 0)
     pthread_cond_wait (&w->resumed, &w->lock);
+  int64_t revision = w->known_revision;
+  uint32_t era = w->known_era;
   pthread_mutex_unlock (&w->lock);
+  if (revision == 0 || w->prefix != NULL)
+    return false;
+  w->seen_revision = revision;
+  w->store->era = era;
+  w->store->ask_now = true;
+  return true;
 }
 
 /* The thread is never stopped, because a wait in a store call would delay the
@@ -194,7 +206,7 @@
   while (true)
     {
       if (key_read && ck_pr_load_int (&w->suspended) != 0)
-        wait_until_resumed (w);
+        key_read = wait_until_resumed (w);
       if (!key_read)
         key_read = read_all (w);
       if (!key_read)
@@ -253,12 +265,18 @@
 }
 
 void
-watcher_suspend (struct watcher *w, bool suspend)
+watcher_suspend (struct watcher *w)
+{
+  ck_pr_store_int (&w->suspended, 1);
+}
+
+void
+watcher_resume (struct watcher *w, int64_t revision, uint32_t era)
 {
-  if (suspend == watcher_is_suspended (w))
-    return;
   pthread_mutex_lock (&w->lock);
-  ck_pr_store_int (&w->suspended, suspend);
+  w->known_revision = revision;
+  w->known_era = era;
+  ck_pr_store_int (&w->suspended, 0);
   pthread_cond_signal (&w->resumed);
   pthread_mutex_unlock (&w->lock);
 }
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -35,9 +35,13 @@
 struct watcher *watcher_start (struct store *st, const char *key,
                                const char *prefix, struct inbox *inbox);
 
-/* Suspend the watch, or resume it from the changes that were last seen.  A
-   suspended watch is not healthy.  */
-void watcher_suspend (struct watcher *w, bool suspend);
+/* Suspend the watch.  A suspended watch is not healthy.  */
+void watcher_suspend (struct watcher *w);
+
+/* Resume it: ask the store at once.  All changes of the key up to REVISION of
+   the store's copy ERA are known here; 0: not known.  */
+void watcher_resume (struct watcher *w, int64_t revision, uint32_t era);
+
 bool watcher_is_suspended (const struct watcher *w);
 
 /* Whether the store answered the last call.  Callable from any thread.  */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -97,6 +97,8 @@
   /* The last that the store stated; 0: none.  It rises when the store comes
      back from an older copy, with revisions that it has given before.  */
   uint32_t era;
+  /* The next wait of a watch ends at once; set by the thread that watches.  */
+  bool ask_now;
 };
 
 /* A compare-and-swap whose value contains CHANGE_ID, a unique text.  Later
--- a/test/unit/test_mesh_evacuations.c
+++ b/test/unit/test_mesh_evacuations.c
@@ -20,8 +20,8 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "mesh/confirm.h"
 #include "mesh/evacuations.h"
-#include "mesh/watch_rank.h"
 
 enum
 {
@@ -35,8 +35,7 @@
   CLOSE_MS = 3000,
   BOUND_MS = 5000,
   STATE_MS = 500,
-  LARGE_MESH = 40,
-  RANK_STEPS = 60,
+  APPLY_MS = 2000,
   POLL_MARGIN_MS = 600,
   MESSAGES_MAX = 2048
 };
@@ -75,7 +74,9 @@
   int64_t clock_offset_ns;
   int64_t offset_seen_ns[NODES]; /* lower bounds of the others' offsets */
   bool offset_known[NODES];
-  bool reported_healthy[NODES]; /* as the others last reported */
+  struct confirm confirm;
+  /* The others' own last confirmations, as they reported them; 0: none.  */
+  int64_t reported_ns[NODES];
   bool healthy;
   struct span no_store, alone, down, paused; /* faults */
   bool was_down;
@@ -93,13 +94,14 @@
   bool is_document;
   struct evacuations set; /* as of the sending */
   int64_t clock_ns;
-  bool healthy;
+  int64_t confirmed_ns;
 };
 
 struct world
 {
   enum fault fault;
-  bool large;
+  bool grouped; /* one node watches for all that hear of it */
+  struct confirm_times times;
   uint64_t random;
   int64_t now_ms;
   struct node nodes[NODES];
@@ -183,7 +185,8 @@
                          .is_document = is_document,
                          .set = n->set,
                          .clock_ns = local_ns (w, n),
-                         .healthy = n->healthy };
+                         .confirmed_ns
+                         = n->healthy ? n->confirm.own.at_ns : 0 };
   if (!is_document)
     m->set.stamp = evacuations_report (&n->set, m->clock_ns);
   if (in (&w->stalls[from], w->now_ms))
@@ -208,8 +211,15 @@
   if (!n->offset_known[m->from] || offset_ns > n->offset_seen_ns[m->from])
     n->offset_seen_ns[m->from] = offset_ns;
   n->offset_known[m->from] = true;
-  n->reported_healthy[m->from] = m->healthy;
   int64_t sent_ns = m->clock_ns - n->offset_seen_ns[m->from];
+  n->reported_ns[m->from] = 0;
+  if (m->confirmed_ns != 0)
+    {
+      struct confirmation c
+          = { 1, m->confirmed_ns - n->offset_seen_ns[m->from], 1, 0 };
+      n->reported_ns[m->from] = c.at_ns;
+      confirm_add (&n->confirm, &c, false);
+    }
   if (!m->is_document)
     {
       if (evacuations_on_stamp (&n->set, &m->set.stamp, sent_ns)
@@ -269,20 +279,30 @@
 }
 
 /* What node INDEX knows of the other watches.  In half of the worlds nodes
-   suspend their watch as in a large mesh.  */
-static struct watch_rank
-rank_of (const struct world *w, unsigned index)
+   leave watching to one of a group.  */
+static struct confirm_group
+group_of (const struct world *w, unsigned index)
 {
   const struct node *n = &w->nodes[index];
-  struct watch_rank r
-      = { .nodes = w->large ? LARGE_MESH : 1, .may_suspend = w->large };
-  for (unsigned i = 0; i < NODES; i++)
+  struct confirm_group g
+      = { .own_name = node_names[index], .parts = 1, .nodes = 1 };
+  for (unsigned i = 0; w->grouped && i < NODES; i++)
     if (i != index && n->offset_known[i] && !in (&n->alone, w->now_ms)
         && !in (&w->nodes[i].alone, w->now_ms)
         && !in (&w->nodes[i].down, w->now_ms))
-      watch_rank_count (&r, node_names[index], node_names[i],
-                        n->reported_healthy[i]);
-  return r;
+      confirm_group_add (&g, node_names[i], n->reported_ns[i], &w->times,
+                         local_ns (w, n));
+  return g;
+}
+
+/* Record that the store answered a wait that began at ASKED_NS.  */
+static void
+confirm_poll (struct world *w, unsigned index, int64_t confirmed_ns)
+{
+  struct node *n = &w->nodes[index];
+  struct confirmation c = { 1, confirmed_ns, 1, 0 };
+  confirm_add (&n->confirm, &c, true);
+  broadcast (w, index);
 }
 
 static void
@@ -300,9 +320,14 @@
 {
   struct node *n = &w->nodes[index];
   int64_t now_ns = local_ns (w, n);
-  struct watch_rank rank = rank_of (w, index);
-  int64_t wait_ms = watch_rank_wait_ms (&rank);
-  n->suspended = n->listed && !watch_rank_should_watch (&rank, !n->suspended);
+  struct confirm_group group = group_of (w, index);
+  int64_t wait_ms = w->times.wait_ns / NS_PER_MS;
+  bool watch = confirm_should_watch (&n->confirm, &group, &w->times,
+                                     !n->suspended, now_ns);
+  /* A watch that is resumed begins with a list.  */
+  if (watch && n->suspended)
+    n->listed = false;
+  n->suspended = !watch && (n->listed || n->suspended);
   if (n->suspended)
     {
       n->healthy = false;
@@ -315,6 +340,8 @@
         return;
       if (!n->listed)
         take_from_store (w, index, now_ns);
+      if (!n->listed)
+        confirm_poll (w, index, now_ns);
       n->listed = true;
       n->healthy = true;
       begin_poll (w, n, wait_ms);
@@ -334,6 +361,7 @@
     {
       n->healthy = true;
       take_from_store (w, index, now_ns - waited_ms * NS_PER_MS);
+      confirm_poll (w, index, ended ? now_ns : n->confirm.own.at_ns);
       begin_poll (w, n, wait_ms);
     }
 }
@@ -349,7 +377,8 @@
   n->listed = false;
   n->suspended = false;
   memset (n->offset_known, 0, sizeof n->offset_known);
-  memset (n->reported_healthy, 0, sizeof n->reported_healthy);
+  memset (n->reported_ns, 0, sizeof n->reported_ns);
+  n->confirm = (struct confirm){ .version = 1 };
   n->healthy = false;
   n->poll_ms = -1;
   n->retry_ms = w->now_ms;
@@ -361,7 +390,8 @@
   struct world *w = calloc (1, sizeof *w);
   w->random = seed * 977 + 13;
   w->fault = fault;
-  w->large = seed % 2 == 0;
+  w->grouped = seed % 2 == 0;
+  w->times = confirm_times (APPLY_MS);
   w->revision = 10;
   w->store_down = draw_span (w, 2, 9000);
   for (unsigned z = 0; z < ZONES; z++)
@@ -505,50 +535,12 @@
     }
 }
 
-/* Which nodes watch in a mesh of LARGE_MESH nodes of which some lose the
-   store: too few would learn late, and all at once would cost what suspending
-   saves.  */
-static void
-few_nodes_watch (void **state)
-{
-  bool watches[LARGE_MESH], store[LARGE_MESH];
-  char names[LARGE_MESH][8];
-  (void)state;
-  for (unsigned i = 0; i < LARGE_MESH; i++)
-    {
-      watches[i] = store[i] = true;
-      snprintf (names[i], sizeof names[i], "n%02u", i * 7 % LARGE_MESH);
-    }
-  for (unsigned step = 0; step < RANK_STEPS; step++)
-    {
-      unsigned healthy = 0, watchers = 0, resumed = 0;
-      bool before[LARGE_MESH];
-      memcpy (before, watches, sizeof before);
-      for (unsigned i = 0; i < LARGE_MESH; i++)
-        {
-          struct watch_rank r = { .nodes = 1, .may_suspend = true };
-          for (unsigned k = 0; k < LARGE_MESH; k++)
-            if (k != i)
-              watch_rank_count (&r, names[i], names[k], before[k] && store[k]);
-          watches[i] = watch_rank_should_watch (&r, before[i]);
-          healthy += before[i] && store[i];
-          watchers += watches[i] && store[i];
-          resumed += watches[i] && !before[i];
-        }
-      assert_true (watchers >= 3);
-      /* All resume only if fewer than three were left.  */
-      assert_true (healthy < 3 || (watchers <= 8 && resumed <= 4));
-      store[step * step * 7 % LARGE_MESH] = step % 3 != 0;
-    }
-}
-
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (nothing_starts_after_the_bound),
     cmocka_unit_test (inserted_faults_are_found),
-    cmocka_unit_test (few_nodes_watch),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
