--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -221,7 +221,7 @@
                    w->watched, w->seen_revision, status_message ());
       if (s == STATUS_STALE)
         key_read = false;
-      if (s != STATUS_OK)
+      else if (s != STATUS_OK)
         back_off (w);
     }
   return NULL;
