http client: calls that no late copy of a response can answer

A faulty target may write an earlier response once more on a kept connection. The id tells it apart from the response to another call, but not if the same request is sent again on that connection, nor if it has no id. A call can ask for a connection that carried no other one, and a connection on which a response without an id came is not used again.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -308,12 +308,16 @@
     .body_length = c->body->len,
   };
   bool fully_sent = net_pending_bytes ((uv_stream_t *)&c->tcp) == 0;
+  bool identified
+      = call->options.identifies == NULL
+        || call->options.identifies (call->options.arg, c->headers);
   c->call = NULL;
   c->idle_ms = keep_alive_timeout_ms (c->headers);
   uv_timer_stop (&c->timer);
   /* If the server responded before the request was sent completely, the rest
      is not sent, and the server would read the next request as that rest.  */
-  bool reusable = no_excess && fully_sent && c->keep_alive && c->idle_ms > 0;
+  bool reusable = no_excess && fully_sent && identified && c->keep_alive
+                  && c->idle_ms > 0;
   end_call (call, &response);
   if (c->closed)
     return;
@@ -487,7 +491,12 @@
 try_start_call (struct http_client *client, struct http_call *call)
 {
   GList *link = g_queue_peek_head_link (&client->idle_connections);
-  if (link != NULL)
+  if (link != NULL && call->options.fresh)
+    {
+      if (client->connection_count >= client->connections_max)
+        close_connection (g_queue_peek_tail (&client->idle_connections));
+    }
+  else if (link != NULL)
     {
       struct connection *c = link->data;
       g_queue_unlink (&client->idle_connections, link);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -49,10 +49,17 @@
 {
   http_done_fn *done;
   http_match_fn *matches; /* NULL: every response matches */
+  /* Whether a response with HEADERS says which call it belongs to; after one
+     that does not the connection is not used again, because a late copy of it
+     would match any call.  NULL: all do.  */
+  http_match_fn *identifies;
   void *arg;
   uint32_t timeout_ms; /* limit from sending the request to the end of the
                           response */
   bool head_only;      /* request by HEAD: the response has no body */
+  /* Use a connection that has carried no other call, so that no late copy of
+     an earlier response is taken for that of this call.  */
+  bool fresh;
 };
 
 /* Create a client of the server at ADDRESS that has at most CONNECTIONS_MAX
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -496,9 +496,17 @@
   return id == NULL || script_word_number (id) == call->number;
 }
 
+static bool
+has_id (void *arg, const struct headers *headers)
+{
+  (void)arg;
+  return headers_find (headers, "Id") != NULL;
+}
+
 static void
-test_call (struct client_test *test, int number, uint32_t timeout_ms)
+test_call (struct client_test *test, int count, char **words)
 {
+  int number = script_word_number (words[1]);
   struct test_call *call = calloc (1, sizeof *call);
   test->arguments[number] = call;
   call->test = test;
@@ -507,7 +515,9 @@
     .done = record_response,
     .matches = has_own_id,
     .arg = call,
-    .timeout_ms = timeout_ms,
+    .timeout_ms = (uint32_t)script_number (count, words, "timeout", 5000),
+    .identifies = script_number (count, words, "ids", 0) ? has_id : NULL,
+    .fresh = script_number (count, words, "fresh", 0) != 0,
   };
   GString *message = g_string_new (NULL);
   g_string_printf (message, "GET /%d HTTP/1.1\r\n\r\n", number);
@@ -566,8 +576,7 @@
   struct client_test *test = context;
   test->out = out;
   if (strcmp (words[0], "call") == 0)
-    test_call (test, script_word_number (words[1]),
-               (uint32_t)script_number (count, words, "timeout", 5000));
+    test_call (test, count, words);
   else if (strcmp (words[0], "respond") == 0)
     send_response (test, words[1]);
   else if (strcmp (words[0], "flood") == 0)
