Send a request that the target refused again on a new connection

A request that must run once ran twice: it was shed, sent again under its id on the same connection, and a late copy of the refusal was taken for the answer to the second sending, so it went to another target while it ran.

The node remembers the ids that its target refused, 4,096 of them, and sends them on a connection that has carried no other call. A refusal without an id ends the use of its connection.

--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -13,6 +13,7 @@
 #include <inttypes.h>
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Connections for calls other than requests, such as grants and releases.  */
 #define SPARE_CONNECTIONS 8
@@ -47,6 +48,10 @@
    for this long.  */
 #define UNREAD_MAX_NS (50 * NS_PER_MS)
 
+/* Requests that the target refused and that may come again, as hashes of their
+   ids; a newer one takes the place of an older one.  */
+#define REFUSED_IDS 4096
+
 struct egress
 {
   uv_loop_t *loop;
@@ -82,7 +87,8 @@
   uv_timer_t reopen_timer; /* without a probe */
   uint32_t alone_count;    /* running jobs with ALONE, all of this content: */
   uint64_t alone_content;
-  int64_t load_bad_ns; /* of the last line about an unreadable load */
+  int64_t load_bad_ns;   /* of the last line about an unreadable load */
+  uint64_t *refused_ids; /* hashes, REFUSED_IDS places */
 };
 
 struct egress_job
@@ -171,6 +177,38 @@
   return id == NULL || strcmp (id, job->request.id) == 0;
 }
 
+static bool
+has_request_id (void *arg, const struct headers *headers)
+{
+  const struct egress_job *job = arg;
+  const struct dialect *d = job->egress->dialect;
+  return headers_find (headers, d->headers[HEADER_REQUEST_ID]) != NULL;
+}
+
+/* Where the hash of the id of JOB is remembered once the target refused it. */
+static uint64_t *
+refused_id (const struct egress_job *job, uint64_t *hash)
+{
+  const char *id = job->request.id;
+  *hash = XXH64 (id, strlen (id), 0);
+  return &job->egress->refused_ids[*hash % REFUSED_IDS];
+}
+
+static bool
+was_refused (const struct egress_job *job)
+{
+  uint64_t hash;
+  return *refused_id (job, &hash) == hash;
+}
+
+static void
+remember_refused (const struct egress_job *job)
+{
+  uint64_t hash;
+  uint64_t *place = refused_id (job, &hash);
+  *place = hash;
+}
+
 static bool
 keep_answer_field (const char *name, const void *arg)
 {
@@ -447,6 +485,7 @@
   struct egress *g = job->egress;
   struct attempt_result result
       = attempt_not_run (REASON_TARGET_REFUSED, SHED_RETRY_AFTER_NS);
+  remember_refused (job);
   result.reached_target = true;
   result.target_failed = true;
   if (response->status == 421 && job->request.key != ATTEMPT_NO_KEY)
@@ -681,9 +720,11 @@
   struct http_call_options options = {
     .done = on_response,
     .matches = belongs_to_job,
+    .identifies = has_request_id,
     .arg = job,
     .timeout_ms = (uint32_t)left_ms + ATTEMPT_ANSWER_SLACK_MS,
     .head_only = g_str_has_prefix (r->head->str, "HEAD "),
+    .fresh = was_refused (job),
   };
   job->sent_ns = now_ns;
   if (job->alone)
@@ -777,6 +818,7 @@
   g->dialect = dialect;
   g->hooks = *hooks;
   g->shutdown_ns = INT64_MAX;
+  g->refused_ids = g_new0 (uint64_t, REFUSED_IDS);
   g->client = http_client_new (loop, &settings->target,
                                settings->target_slots + SPARE_CONNECTIONS);
   http_client_on_unbounded (g->client, on_unbounded, g);
