Send releases of keys on connections of their own

A late copy of a request's answer was taken for the answer to the release of its key, so the key was granted to the next target while work ran on it at the first one. Grants and releases now skip answers with the id of a request, and a release is sent on a connection that has carried no other call.

--- a/src/mesh/grants.c
+++ b/src/mesh/grants.c
@@ -134,6 +134,15 @@
   g->deps.on_change (g->deps.arg);
 }
 
+/* An answer with the id of a request is a late copy.  */
+static bool
+belongs_to_no_request (void *arg, const struct headers *headers)
+{
+  const struct grant_call *c = arg;
+  const struct dialect *d = c->grants->deps.dialect;
+  return headers_find (headers, d->headers[HEADER_REQUEST_ID]) == NULL;
+}
+
 static void
 send_call (struct grants *g, const struct key_range *range, int64_t hold_ns,
            const char *handover, int64_t now_ns)
@@ -152,7 +161,11 @@
   };
   struct http_call_options options = {
     .done = hold_ns > 0 ? on_grant_response : on_release_response,
+    .matches = belongs_to_no_request,
     .arg = c,
+    /* The answer to a release ends the target's hold of the keys, and nothing
+       in it says which release it belongs to.  */
+    .fresh = hold_ns == 0,
     .timeout_ms = hold_ns > 0 ? GRANT_TIMEOUT_MS : RELEASE_TIMEOUT_MS,
   };
   if (hold_ns > 0)
