End watches when the store comes back from an older copy

Its revisions go back and are given out again, so a watch from a revision of the former copy misses changes once the new one has passed it.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -484,6 +484,48 @@
   standin_http_free (http);
 }
 
+/* The store comes back from an older copy, and its revisions pass that of the
+   watch again, with a change that the watch would miss.  */
+
+enum
+{
+  ERA_PORT_OFFSET = 961 /* from the run's first port */
+};
+
+static unsigned waits_answered;
+
+static enum standin_action
+serve_wait (void *arg, struct standin_call *call)
+{
+  (void)arg;
+  standin_call_answer (call, 200, strdup ("{\"events\":[],\"at\":9}"));
+  MHD_add_response_header (call->response, "Store-Era",
+                           ++waits_answered < 3 ? "4" : "5");
+  return STANDIN_ANSWER;
+}
+
+static void
+watches_end_with_the_copy_of_the_store (void **state)
+{
+  static const struct standin_ops ops = { .handle = serve_wait };
+  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
+  char listen[32];
+  int stop = 0;
+  (void)state;
+  settings.stores[0].port = test_port (ERA_PORT_OFFSET);
+  strcpy (settings.stores[0].host, "127.0.0.1");
+  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
+  struct standin_http *http = standin_http_new (listen, 1, &ops, NULL);
+  assert_non_null (http);
+  struct store *st = platform_open_store (&settings);
+  assert_int_equal (st->ops->watch (st, "op/", 9, collect_key, NULL, &stop),
+                    STATUS_STALE);
+  assert_int_equal (waits_answered, 3);
+  assert_int_equal (st->era, 5);
+  st->ops->free (st);
+  standin_http_free (http);
+}
+
 int
 main (void)
 {
@@ -502,6 +544,7 @@
     cmocka_unit_test (truncated_frames_are_rejected),
     cmocka_unit_test (later_state_fields_follow_identity),
     cmocka_unit_test (invalid_item_does_not_block_others),
+    cmocka_unit_test (watches_end_with_the_copy_of_the_store),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
