--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -12,8 +12,11 @@
 
 #include "lib/ports.h"
 #include "lib/standin_http.h"
+#include "mesh/evacuations.h"
 #include "mesh/frame.h"
+#include "own/cell.h"
 #include "platform.h"
+#include "settings/address.h"
 #include "store/store.h"
 
 #define HEARTBEAT_PATH "/-/instances/i-1/heartbeat"
@@ -526,6 +529,108 @@
   standin_http_free (http);
 }
 
+/* Another writer's entries and check-ins: deeply nested, with a number that is
+   too large, or a port out of range.  They are refused, and the process goes
+   on.  */
+
+enum
+{
+  NESTED_LEVELS = 1000000
+};
+
+static void
+odd_entries_are_refused (void **state)
+{
+  static const char *const numbers[]
+      = { "1e999", "99999999999999999999", "-99999999999999999999" };
+  static const char *const addresses[]
+      = { "10.0.0.1:65536", "10.0.0.1:0",   "10.0.0.1:-1",
+          "10.0.0.1:",      "10.0.0.1:1e3", "10.0.0.1:99999999999999999999" };
+  struct target_report r;
+  struct settings_address address;
+  struct routes *routes = NULL;
+  struct cell *cell = NULL;
+  struct evacuations_document evacuated;
+  enum target_call call;
+  char body[512];
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      snprintf (body, sizeof body,
+                "{" OTHER_FIELDS ",\"address\":\"10.0.0.1:80\","
+                "\"state\":\"ready\",\"sequence\":%s}",
+                numbers[i]);
+      assert_int_equal (read_report (body, &r), STATUS_INVALID);
+      snprintf (body, sizeof body, "{\"version\":%s,\"clock\":1,\"zones\":[]}",
+                numbers[i]);
+      assert_int_equal (evacuations_parse (body, strlen (body), &evacuated),
+                        STATUS_INVALID);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      snprintf (body, sizeof body,
+                "{" OTHER_FIELDS ",\"address\":\"%s\","
+                "\"state\":\"ready\",\"sequence\":1}",
+                addresses[i]);
+      assert_int_equal (read_report (body, &r), STATUS_INVALID);
+      assert_int_not_equal (settings_address_parse (addresses[i], &address),
+                            ADDRESS_VALID);
+    }
+  for (int k = 0; k < 2; k++)
+    {
+      GString *nested = g_string_new (k == 0 ? "" : "{\"version\":");
+      for (int i = 0; i < NESTED_LEVELS; i++)
+        g_string_append_c (nested, '[');
+      assert_int_equal (read_report (nested->str, &r), STATUS_INVALID);
+      assert_int_equal (
+          platform_parse_routes (nested->str, nested->len, &routes),
+          STATUS_INVALID);
+      assert_int_equal (
+          evacuations_parse (nested->str, nested->len, &evacuated),
+          STATUS_INVALID);
+      assert_int_equal (cell_parse (nested->str, nested->len, &cell),
+                        STATUS_INVALID);
+      platform_parse_target_call ("POST", "/-/instances/i-1/deregister",
+                                  nested->str, nested->len, &call, &r);
+      assert_int_equal (r.started_ms, 0);
+      g_string_free (nested, TRUE);
+    }
+}
+
+/* A page of a list whose items have no readable key, and that is said not to
+   be the last, ends the list: it cannot be continued.  */
+
+static enum standin_action
+serve_page_without_keys (void *arg, struct standin_call *call)
+{
+  static const char page[]
+      = "{\"items\":[{\"key\":7}],\"has_more\":true,\"at\":5}";
+  ++*(unsigned *)arg;
+  /* So that a client that repeats the page does not loop forever.  */
+  standin_call_answer (call, *(unsigned *)arg > 8 ? 503 : 200, strdup (page));
+  return STANDIN_ANSWER;
+}
+
+static void
+list_without_keys_ends (void **state)
+{
+  static const struct standin_ops ops = { .handle = serve_page_without_keys };
+  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
+  char listen[32];
+  unsigned pages = 0;
+  (void)state;
+  settings.stores[0].port = test_port (ERA_PORT_OFFSET + 1);
+  strcpy (settings.stores[0].host, "127.0.0.1");
+  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
+  struct standin_http *http = standin_http_new (listen, 1, &ops, &pages);
+  assert_non_null (http);
+  struct store *st = platform_open_store (&settings);
+  assert_int_equal (st->ops->list (st, "p/", collect_key, NULL), STATUS_OK);
+  assert_int_equal (pages, 1);
+  st->ops->free (st);
+  standin_http_free (http);
+}
+
 int
 main (void)
 {
@@ -545,6 +650,8 @@
     cmocka_unit_test (later_state_fields_follow_identity),
     cmocka_unit_test (invalid_item_does_not_block_others),
     cmocka_unit_test (watches_end_with_the_copy_of_the_store),
+    cmocka_unit_test (odd_entries_are_refused),
+    cmocka_unit_test (list_without_keys_ends),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
