node: take an answer that ends within its head for a lost one

A target stopped within the head of its answer and closed: the caller got a 200 with an empty body, framed as whole, since libcurl returns no error then. The exchange notes whether the head was ended, as the mesh's client does.

answers_that_end_in_their_head_are_incomplete failed before.

--- a/src/route/http_exchange.c
+++ b/src/route/http_exchange.c
@@ -84,6 +84,10 @@
   /* Trailers and the heads of interim responses count as well.  */
   e->head_length += length;
   e->line_count++;
+  if (data[0] == '\r' || data[0] == '\n')
+    e->head_complete = true;
+  else if (length > 5 && strncmp (data, "HTTP/", 5) == 0)
+    e->head_complete = false; /* after an interim response */
   if (e->head_length > HTTP_HEAD_BYTES_MAX
       || e->line_count > HTTP_FIELDS_MAX + HEAD_LINES)
     {
@@ -243,6 +247,12 @@
   return true;
 }
 
+CURLcode
+http_exchange_result (const struct http_exchange *e, CURLcode code)
+{
+  return code == CURLE_OK && !e->head_complete ? CURLE_PARTIAL_FILE : code;
+}
+
 void
 http_exchange_reset (struct http_exchange *e)
 {
--- a/src/route/http_exchange.h
+++ b/src/route/http_exchange.h
@@ -39,6 +39,7 @@
   size_t body_capacity;
   size_t head_length;
   unsigned line_count; /* lines of the head and trailers */
+  bool head_complete;
   char content_type[REQUEST_CONTENT_TYPE_BYTES];
   unsigned send_count; /* how often a send was allowed to start */
   bool not_run;        /* the target reported that the request did not run */
@@ -54,6 +55,10 @@
 bool http_exchange_begin (struct http_exchange *e, struct http_pool *pool,
                           int64_t left_ms);
 
+/* The result of the exchange, for which libcurl returned CODE: an error if the
+   response ended within its head, which libcurl takes for a complete one.  */
+CURLcode http_exchange_result (const struct http_exchange *e, CURLcode code);
+
 /* Let the connection of E be closed by a reset when its handle is removed from
    its multi handle: what was not delivered yet is not delivered.  */
 void http_exchange_reset (struct http_exchange *e);
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -320,6 +320,7 @@
   long http_status = 0;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&s);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &http_status);
+  code = http_exchange_result (&s->http, code);
   counter_add (COUNTER_target_sends_total, s->http.send_count);
   detach_send (t, s, admission_outcome (s, code));
   if (s->http.send_count == 0)
--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -5,11 +5,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <arpa/inet.h>
 #include <cmocka.h>
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
+#include "lib/ports.h"
+#include "route/http_exchange.h"
 #include "route/map.h"
 #include "route/policy.h"
 #include "route/request_line.h"
@@ -294,6 +300,102 @@
   assert_true (retries > requests / 20);
 }
 
+/* A target that stops within the head of its answer and closes: the answer is
+   not complete, although libcurl returns the status line's code and no error.
+ */
+
+enum
+{
+  TARGET_PORT_OFFSET = 970 /* from the run's first port */
+};
+
+struct brief_target
+{
+  int listener;
+  const char *answer;
+};
+
+static void *
+answer_once (void *arg)
+{
+  const struct brief_target *t = arg;
+  char request[4096];
+  int fd = accept (t->listener, NULL, NULL);
+  if (recv (fd, request, sizeof request, 0) > 0)
+    send (fd, t->answer, strlen (t->answer), MSG_NOSIGNAL);
+  close (fd);
+  return NULL;
+}
+
+static CURLcode
+exchange_with (struct brief_target *t, const struct settings *settings,
+               struct fixture *f)
+{
+  struct request request = { .method = "GET", .path = "/v1/s/k" };
+  struct owner owner = { .incarnation = 7 };
+  struct http_exchange e = {
+    .settings = settings, .map = f->map, .request = &request, .owner = &owner
+  };
+  struct http_pool *pool = http_pool_new (1);
+  pthread_t thread;
+  pthread_create (&thread, NULL, answer_once, t);
+  assert_true (http_exchange_begin (&e, pool, 2000));
+  CURLcode code = http_exchange_result (&e, curl_easy_perform (e.easy));
+  pthread_join (thread, NULL);
+  http_exchange_end (&e, pool);
+  http_exchange_clear (&e);
+  http_pool_free (pool);
+  return code;
+}
+
+static void
+answers_that_end_in_their_head_are_incomplete (void **state)
+{
+  static const char *const truncated[] = {
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Ty",
+    "HTTP/1.1 200 OK\r\nContent-Length: 1",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+  };
+  static const char *const complete[] = {
+    "HTTP/1.1 200 OK\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+  };
+  struct fixture f;
+  struct brief_target t;
+  struct settings settings = { .body_bytes_max = 1000 };
+  struct sockaddr_in at
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int on = 1;
+  (void)state;
+  set_up (&f);
+  map_install_view (f.map, f.view, 1);
+  map_set_lease_until (f.map, INT64_MAX);
+  strcpy (settings.target.host, "127.0.0.1");
+  settings.target.port = test_port (TARGET_PORT_OFFSET);
+  at.sin_port = htons (settings.target.port);
+  t.listener = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (t.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  assert_int_equal (bind (t.listener, (struct sockaddr *)&at, sizeof at), 0);
+  listen (t.listener, 1);
+  for (size_t i = 0; i < sizeof truncated / sizeof truncated[0]; i++)
+    {
+      t.answer = truncated[i];
+      if (exchange_with (&t, &settings, &f) == CURLE_OK)
+        fail_msg ("complete: %s", t.answer);
+    }
+  for (size_t i = 0; i < sizeof complete / sizeof complete[0]; i++)
+    {
+      t.answer = complete[i];
+      assert_int_equal (exchange_with (&t, &settings, &f), CURLE_OK);
+    }
+  close (t.listener);
+  tear_down (&f);
+}
+
 int
 main (void)
 {
@@ -307,6 +409,7 @@
     cmocka_unit_test (pins_override_slots),
     cmocka_unit_test (only_safe_attempts_are_repeated),
     cmocka_unit_test (retries_are_bounded_by_the_budget),
+    cmocka_unit_test (answers_that_end_in_their_head_are_incomplete),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
