Evacuations: only what the store told a node itself confirms its set

Nodes that were cut off from the store together confirmed an outdated set to each other for as long as the cut lasted, so none of them closed an evacuated zone: what keeps an evacuation in time was the report of any node, however it knew. Now a set counts as confirmed up to when the store told a node that watches it, as the configuration does.

--- a/src/mesh/evacuations.c
+++ b/src/mesh/evacuations.c
@@ -140,7 +140,8 @@
 
 bool
 evacuations_on_stamp (struct evacuations *e,
-                      const struct evacuations_stamp *stamp, int64_t sent_ns)
+                      const struct evacuations_stamp *stamp,
+                      int64_t confirmed_ns)
 {
   bool newer = stamp->version > e->stamp.version;
   /* The set may be outdated, so this confirms nothing.  */
@@ -149,7 +150,7 @@
   if (newer)
     e->stamp.version = stamp->version;
   if (stamp->version != 0)
-    record_heard (e, sent_ns);
+    record_heard (e, confirmed_ns);
   return false;
 }
 
@@ -251,7 +252,6 @@
                              : sent_ns - age_ns;
     }
   replace (e, next, d->count, d->version, now_ns);
-  record_heard (e, sent_ns);
   return true;
 }
 
--- a/src/mesh/evacuations.h
+++ b/src/mesh/evacuations.h
@@ -44,7 +44,10 @@
   unsigned ended_count;
   struct evacuated_zone ended[EVACUATIONS_ZONES_MAX];
   bool has_others; /* other nodes are known */
-  /* When the store or another node last confirmed the set; 0: never.  */
+  /* Up to when the store confirmed the set, to this node or to one that
+     reported so; 0: never.  What other nodes only heard of confirms nothing:
+     nodes that are cut off from the store together would confirm it to each
+     other.  */
   int64_t heard_ns;
 };
 
@@ -72,11 +75,13 @@
                          unsigned count, uint64_t version, int64_t asked_ns,
                          int64_t now_ns);
 
-/* Another node reported STAMP at SENT_NS on this node's clock.  Return whether
-   its set must be fetched.  A newer version of an equal set is adopted.  */
+/* Another node reported STAMP.  CONFIRMED_NS: up to when the store told that
+   node itself that it knows all, on this node's clock; 0: it did not.  Return
+   whether its set must be fetched.  A newer version of an equal set is
+   adopted.  */
 bool evacuations_on_stamp (struct evacuations *e,
                            const struct evacuations_stamp *stamp,
-                           int64_t sent_ns);
+                           int64_t confirmed_ns);
 
 /* What to report to other nodes: nothing while this node is cut off, so that
    it does not confirm an outdated set to them.  */
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -656,9 +656,10 @@
 static void
 on_store_confirmation (struct mesh *m, struct watch_update *w)
 {
-  sources_on_store (m->sources, w, clock_now_ns ());
+  /* The state that the sources report has both.  */
   if (w->zones != NULL)
     zone_gate_on_store (m->zone_gate, w);
+  sources_on_store (m->sources, w, clock_now_ns ());
 }
 
 static void
--- a/src/mesh/zone_gate.c
+++ b/src/mesh/zone_gate.c
@@ -207,8 +207,11 @@
   int64_t now_ns = clock_now_ns ();
   if (z->set.close_ns == 0)
     return;
-  int64_t sent_ns = nodes_sent_ns (z->deps.nodes, node->name, state->clock_ns);
-  if (!evacuations_on_stamp (&z->set, &state->evacuations, sent_ns)
+  int64_t confirmed_ns = state->confirmed.clock_ns == 0
+                             ? 0
+                             : nodes_sent_ns (z->deps.nodes, node->name,
+                                              state->confirmed.clock_ns);
+  if (!evacuations_on_stamp (&z->set, &state->evacuations, confirmed_ns)
       || now_ns < z->fetched_ns + FETCH_INTERVAL_NS)
     return;
   z->fetched_ns = now_ns;
--- a/test/unit/test_mesh_evacuations.c
+++ b/test/unit/test_mesh_evacuations.c
@@ -4,8 +4,8 @@
 
    Nodes are cut off from the store or from everything, restart and are
    paused; watches miss changes until their wait ends; connections stall; the
-   store is down for all.  The last node has no faults of its own: if all that
-   reach each other are cut off from the store, none of them can know.
+   store is down for all.  All that reach each other may be cut off from the
+   store.
 
      EVACUATIONS_SEEDS=2000 build/test/test_mesh_evacuations  */
 
@@ -222,7 +222,8 @@
     }
   if (!m->is_document)
     {
-      if (evacuations_on_stamp (&n->set, &m->set.stamp, sent_ns)
+      if (evacuations_on_stamp (&n->set, &m->set.stamp,
+                                n->reported_ns[m->from])
           || (w->fault == OLDER_VERSION_WINS
               && m->set.stamp.digest != n->set.stamp.digest))
         send_message (w, m->from, m->to, true);
@@ -409,18 +410,18 @@
       if (w->changes_ms[z][1] > FAULTS_END_MS)
         w->changes_ms[z][1] = INT64_MAX;
     }
+  struct span together = draw_span (w, 6, 20000);
   for (unsigned i = 0; i < NODES; i++)
     {
       struct node *n = &w->nodes[i];
       n->clock_offset_ns = (int64_t)draw (w, 1000000) * NS_PER_MS;
       w->stalls[i] = draw_span (w, 4, 1000);
-      if (i + 1 < NODES)
-        {
-          n->no_store = draw_span (w, 2, 20000);
-          n->alone = draw_span (w, 3, 15000);
-          n->down = draw_span (w, 3, 4000);
-          n->paused = draw_span (w, 3, 8000);
-        }
+      n->no_store = draw_span (w, 2, 20000);
+      if (together.to_ms > 0)
+        n->no_store = together;
+      n->alone = draw_span (w, 3, 15000);
+      n->down = draw_span (w, 3, 4000);
+      n->paused = draw_span (w, 3, 8000);
       start_node (w, i);
     }
   return w;
