Refuse waiting requests early when a limit becomes known

Requests that waited when the target stated its limit were refused at their soft deadline (495 ms), although it was known by then that their turn came too late: what could start when was computed for cold targets only. The queue of a limited target moves at its rate as well.

--- a/src/limit/lineup.c
+++ b/src/limit/lineup.c
@@ -731,13 +731,19 @@
   return 0;
 }
 
-/* The earliest start of the waiting request at I.  While the target is cold
-   the whole queue moves at its rate, so that what cannot start in time is
-   known long before it is late.  */
+/* Whether the target is cold or limited: the whole queue moves at its rate. */
+static bool
+has_rate (const struct lineup *l)
+{
+  return isfinite (start_rate (l));
+}
+
+/* The earliest start of the waiting request at I.  Where the target has a
+   rate, what cannot start in time is known long before it is late.  */
 static int64_t
 earliest_start_ns (const struct lineup *l, guint i, int64_t now_ns)
 {
-  if (l->cold.phase != COLD_COLD)
+  if (!has_rate (l))
     return now_ns;
   return now_ns + start_wait_ns (l, now_ns) + i * lineup_start_interval_ns (l);
 }
@@ -754,8 +760,8 @@
           < latest_start_ns (l, e, overloaded))
         continue;
       struct lineup_request r = e->request;
-      enum reason reason = l->cold.phase == COLD_COLD ? REASON_TARGET_LIMIT
-                                                      : REASON_TARGET_BUSY;
+      enum reason reason
+          = has_rate (l) ? REASON_TARGET_LIMIT : REASON_TARGET_BUSY;
       g_ptr_array_remove_index (l->waiting, i);
       g_hash_table_remove (l->entries, GUINT_TO_POINTER (e->id));
       return refuse (&r, reason, lineup_expected_wait_ns (l, now_ns));
