http client: give up the largest response when the memory has no room

Eight answers without end at one target took a node over its memory, and with it the requests at other targets: each body had a bound, and none all together. Bodies of responses are now reserved in the node's budget, by what is allocated; without room the largest one of a megabyte or more is given up, and its memory freed, until there is.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -18,7 +18,9 @@
   CONNECT_TIMEOUT_MS = 1000, /* ample for a target on the same instance */
   BODY_BYTES_MAX_INITIAL = 64 << 20,
   /* Memory of a body that an idle connection keeps: most responses fit.  */
-  BODY_KEPT_BYTES = 16 * 1024
+  BODY_KEPT_BYTES = 16 * 1024,
+  /* Smaller bodies are not given up if the memory has no room for more.  */
+  BODY_CUT_MIN_BYTES = 1 << 20
 };
 
 struct http_client
@@ -91,16 +93,14 @@
   call_free (call);
 }
 
-/* Count BYTES more of the body of C, or all that were counted as no longer
-   held if BYTES is 0.  */
+/* The body of C is no longer held.  */
 static void
-count_body (struct connection *c, size_t bytes)
+release_body (struct connection *c)
 {
   const struct http_memory *m = c->client->memory;
-  if (m == NULL)
-    return;
-  m->count (m->arg, bytes > 0 ? (int64_t)bytes : -(int64_t)c->counted_bytes);
-  c->counted_bytes = bytes > 0 ? c->counted_bytes + bytes : 0;
+  if (m != NULL)
+    m->count (m->arg, -(int64_t)c->counted_bytes);
+  c->counted_bytes = 0;
 }
 
 static void
@@ -128,7 +128,7 @@
   if (c->closed)
     return;
   c->closed = true;
-  count_body (c, 0);
+  release_body (c);
   c->client->connection_count--;
   g_queue_unlink (&c->client->open_connections, &c->open_link);
   if (c->is_idle)
@@ -209,6 +209,74 @@
   return call->options.head_only && !c->skip_message ? 1 : 0;
 }
 
+static void
+on_cut_timer (uv_timer_t *timer)
+{
+  struct connection *c = timer->data;
+  fail_connection (c, HTTP_FAILED, c->bound);
+}
+
+static struct connection *
+find_largest (const struct http_client *client)
+{
+  struct connection *largest = NULL;
+  for (GList *l = client->open_connections.head; l != NULL; l = l->next)
+    {
+      struct connection *c = l->data;
+      if (c->bound == NULL
+          && (largest == NULL || c->counted_bytes > largest->counted_bytes))
+        largest = c;
+    }
+  return largest;
+}
+
+/* Give up the response of C, and its body at once.  */
+static void
+cut_response (struct connection *c)
+{
+  c->bound = "memory";
+  release_body (c);
+  g_string_free (c->body, TRUE);
+  c->body = g_string_new (NULL);
+  uv_timer_start (&c->timer, on_cut_timer, 0, 0);
+}
+
+/* The bytes that the body of C grows by if LENGTH bytes are appended.  */
+static size_t
+body_growth (const struct connection *c, size_t length)
+{
+  size_t room = c->body->allocated_len;
+  while (room < c->body->len + length + 1)
+    room *= 2;
+  return room - c->body->allocated_len;
+}
+
+/* Make room for LENGTH more bytes of the body of C.  While the memory has
+   none, the largest body of all is given up, unless it is one that most
+   responses need.  False if that is the body of C.  */
+static bool
+reserve_body (struct connection *c, size_t length)
+{
+  const struct http_memory *m = c->client->memory;
+  size_t bytes = body_growth (c, length);
+  if (m == NULL || bytes == 0)
+    return true;
+  while (!m->reserve (m->arg, bytes))
+    {
+      struct connection *largest = find_largest (c->client);
+      if (largest == NULL || largest->counted_bytes < BODY_CUT_MIN_BYTES)
+        {
+          m->count (m->arg, (int64_t)bytes);
+          break;
+        }
+      cut_response (largest);
+      if (largest == c)
+        return false;
+    }
+  c->counted_bytes += bytes;
+  return true;
+}
+
 static int
 on_body (http_parser *p, const char *at, size_t length)
 {
@@ -222,8 +290,9 @@
     c->skipped_body += length;
   else
     {
+      if (c->bound != NULL || !reserve_body (c, length))
+        return -1;
       g_string_append_len (c->body, at, (gssize)length);
-      count_body (c, length);
     }
   return 0;
 }
@@ -239,6 +308,8 @@
 on_complete (http_parser *p)
 {
   struct connection *c = p->data;
+  if (c->bound != NULL)
+    return -1;
   if (c->skip_message)
     return 0;
   c->response_complete = true;
@@ -281,7 +352,7 @@
 add_to_idle (struct connection *c)
 {
   c->response_complete = false;
-  count_body (c, 0);
+  release_body (c);
   if (c->body->allocated_len > BODY_KEPT_BYTES)
     {
       g_string_free (c->body, TRUE);
@@ -429,6 +500,7 @@
   GString *message = call->message;
   call->message = NULL;
   c->response_complete = false;
+  c->bound = NULL;
   c->received = 0;
   c->body_received = 0;
   c->skipped_body = 0;
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -715,6 +715,108 @@
   g_free (client);
 }
 
+/* Bodies without end from a few targets at once share one budget.  Beyond it
+   the largest is cut off, and a response beside them is not.  */
+
+enum
+{
+  SHARED_LIMIT_BYTES = 16 << 20,
+  SHARING_CALLS = 8,
+  SHARED_ROUNDS = 1000
+};
+
+struct shared_memory
+{
+  int64_t used;
+  int64_t peak;
+};
+
+static void
+count_shared (void *arg, int64_t bytes)
+{
+  struct shared_memory *m = arg;
+  m->used += bytes;
+  m->peak = MAX (m->peak, m->used);
+}
+
+static bool
+reserve_shared (void *arg, size_t bytes)
+{
+  struct shared_memory *m = arg;
+  if (m->used + (int64_t)bytes > SHARED_LIMIT_BYTES)
+    return false;
+  count_shared (m, (int64_t)bytes);
+  return true;
+}
+
+static void
+note_completion (void *arg, const struct http_response *response)
+{
+  *(bool *)arg = response->result == HTTP_COMPLETED;
+}
+
+static void
+endless_responses_share_a_budget (void **state)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+  static const char sound[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n";
+  static char body[50000];
+  struct shared_memory used = { 0 };
+  struct http_memory memory
+      = { .arg = &used, .reserve = reserve_shared, .count = count_shared };
+  uv_loop_t loop;
+  struct settings_address address = { "127.0.0.1", free_port () };
+  struct sockaddr_in at = loopback (address.port);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int fds[SHARING_CALLS + 1];
+  int failed = 0;
+  bool completed = false;
+  (void)state;
+  uv_loop_init (&loop);
+  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
+  listen (listener, SHARING_CALLS + 1);
+  struct http_client *client
+      = http_client_new (&loop, &address, SHARING_CALLS + 1);
+  struct http_call_options options
+      = { .done = count_failure, .arg = &failed, .timeout_ms = 60000 };
+  http_client_set_memory (client, &memory);
+  for (int i = 0; i <= SHARING_CALLS; i++)
+    {
+      if (i == SHARING_CALLS)
+        options = (struct http_call_options){ .done = note_completion,
+                                              .arg = &completed,
+                                              .timeout_ms = 60000 };
+      http_call (client, g_string_new ("GET / HTTP/1.1\r\n\r\n"), &options);
+      run_loop (&loop);
+      fds[i] = accept (listener, NULL, NULL);
+      send (fds[i], i < SHARING_CALLS ? head : sound,
+            strlen (i < SHARING_CALLS ? head : sound), 0);
+    }
+  send (fds[SHARING_CALLS], body, sizeof body / 2, 0);
+  for (int round = 0; round < SHARED_ROUNDS && failed < SHARING_CALLS - 2;
+       round++)
+    {
+      for (int i = 0; i < SHARING_CALLS; i++)
+        send (fds[i], body, sizeof body, MSG_NOSIGNAL | MSG_DONTWAIT);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  assert_in_range (failed, SHARING_CALLS - 2, SHARING_CALLS);
+  assert_in_range (used.peak, SHARED_LIMIT_BYTES / 2,
+                   SHARED_LIMIT_BYTES + SHARED_LIMIT_BYTES / 8);
+  send (fds[SHARING_CALLS], body, sizeof body / 2, 0);
+  run_loop (&loop);
+  assert_true (completed);
+  for (int i = 0; i <= SHARING_CALLS; i++)
+    close (fds[i]);
+  run_loop (&loop);
+  http_client_reset (client, "end");
+  assert_int_equal (used.used, 0);
+  close (listener);
+  close_loop (&loop);
+  g_free (client);
+}
+
 int
 main (void)
 {
@@ -725,6 +827,7 @@
     cmocka_unit_test (cancelled_calls_are_not_delivered),
     cmocka_unit_test (client_follows_script),
     cmocka_unit_test (endless_responses_end),
+    cmocka_unit_test (endless_responses_share_a_budget),
   };
   signal (SIGPIPE, SIG_IGN); /* as the node does */
   return cmocka_run_group_tests (tests, NULL, NULL);
