--- a/test/script/target_limit.red
+++ /dev/null
@@ -1,1 +0,0 @@
-^[-+]late refusals: [0-9]+$
