--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -82,7 +82,7 @@
   uint32_t retry_stored;
   /* evacuation */
   uint32_t evacuation_close_ms; /* 0: zones are never evacuated */
-  uint32_t config_apply_ms; /* within which a configuration is in force */
+  uint32_t config_apply_ms;     /* within which a configuration is in force */
   /* placement and log */
   enum settings_policy policy;
   enum log_level log_level;
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -428,6 +428,22 @@
     }
 }
 
+/* A client of a store that OPS serves, at a port with OFFSET from the run's
+   first.  */
+static struct store *
+open_store (uint16_t offset, const struct standin_ops *ops, void *arg,
+            struct standin_http **http)
+{
+  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
+  char listen[32];
+  settings.stores[0].port = test_port (offset);
+  strcpy (settings.stores[0].host, "127.0.0.1");
+  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
+  *http = standin_http_new (listen, 1, ops, arg);
+  assert_non_null (*http);
+  return platform_open_store (&settings);
+}
+
 /* The store lists two pages; the only item of the first is invalid.  */
 
 enum
@@ -469,15 +485,9 @@
 invalid_item_does_not_block_others (void **state)
 {
   static const struct standin_ops ops = { .handle = serve_page };
-  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
-  char listen[32];
+  struct standin_http *http;
   (void)state;
-  settings.stores[0].port = test_port (LIST_PORT_OFFSET);
-  strcpy (settings.stores[0].host, "127.0.0.1");
-  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
-  struct standin_http *http = standin_http_new (listen, 1, &ops, NULL);
-  assert_non_null (http);
-  struct store *st = platform_open_store (&settings);
+  struct store *st = open_store (LIST_PORT_OFFSET, &ops, NULL, &http);
   GString *items = g_string_new (NULL);
   assert_int_equal (st->ops->list (st, "p/", collect_key, items), STATUS_OK);
   assert_string_equal (items->str, "p/b=x ");
@@ -511,16 +521,10 @@
 watches_end_with_the_copy_of_the_store (void **state)
 {
   static const struct standin_ops ops = { .handle = serve_wait };
-  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
-  char listen[32];
+  struct standin_http *http;
   int stop = 0;
   (void)state;
-  settings.stores[0].port = test_port (ERA_PORT_OFFSET);
-  strcpy (settings.stores[0].host, "127.0.0.1");
-  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
-  struct standin_http *http = standin_http_new (listen, 1, &ops, NULL);
-  assert_non_null (http);
-  struct store *st = platform_open_store (&settings);
+  struct store *st = open_store (ERA_PORT_OFFSET, &ops, NULL, &http);
   assert_int_equal (st->ops->watch (st, "op/", 9, collect_key, NULL, &stop),
                     STATUS_STALE);
   assert_int_equal (waits_answered, 3);
@@ -615,16 +619,10 @@
 list_without_keys_ends (void **state)
 {
   static const struct standin_ops ops = { .handle = serve_page_without_keys };
-  struct settings settings = { .store_timeout_ms = 1000, .store_count = 1 };
-  char listen[32];
+  struct standin_http *http;
   unsigned pages = 0;
   (void)state;
-  settings.stores[0].port = test_port (ERA_PORT_OFFSET + 1);
-  strcpy (settings.stores[0].host, "127.0.0.1");
-  snprintf (listen, sizeof listen, "127.0.0.1:%u", settings.stores[0].port);
-  struct standin_http *http = standin_http_new (listen, 1, &ops, &pages);
-  assert_non_null (http);
-  struct store *st = platform_open_store (&settings);
+  struct store *st = open_store (ERA_PORT_OFFSET + 1, &ops, &pages, &http);
   assert_int_equal (st->ops->list (st, "p/", collect_key, NULL), STATUS_OK);
   assert_int_equal (pages, 1);
   st->ops->free (st);
