--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -36,7 +36,7 @@
 callers=()
 # Six clients that keep their connections, at the sound upstream.
 for n in 1 2 3 4 5 6; do
-  target/review/caller --kept --port "$(callers 1)" --record "$record" \
+  "$programs"/review/caller --kept --port "$(callers 1)" --record "$record" \
     "before$n:POST:/sound/a?ms=20" "pay$n:POST:/sound/a?ms=1500" \
     >>"$work/calls" &
   callers+=($!)
--- a/review/standin/lib.sh
+++ b/review/standin/lib.sh
@@ -3,13 +3,16 @@
 # shellcheck shell=bash
 TROUBLE=${TROUBLE:-1}
 cd "$here/../.." || exit 2
-record=$here/record.txt
+# Where the programs are, and where the record goes, for test/script.
+programs=$(cd "${PROGRAMS:-$here/../../target}" && pwd) || exit 2
+record=${RECORD:-$here/record.txt}
 work=$(mktemp -d)
 pids=()
 declare -A node_pid upstream_pid upstream_in
 : >"$record"
-for program in target/crocusbend target/review/upstream target/review/caller \
-  target/review/store; do
+for program in "$programs"/crocusbend "$programs"/review/upstream \
+  "$programs"/review/caller \
+  "$programs"/review/store; do
   [ -x "$program" ] || { echo "cannot run: $program is not built"; exit 2; }
 done
 
@@ -39,6 +42,10 @@
 # Find a block of 100 free ports; $base is the first.
 find_ports () {
   local try port
+  if [ -n "${CB_PORT_BASE:-}" ]; then
+    base=$CB_PORT_BASE # the block of a test run
+    return
+  fi
   for try in $(seq 50); do
     base=$((10000 + (RANDOM % 180) * 100))
     for port in $(seq 0 60); do
@@ -87,7 +94,7 @@
 
 start_store () {
   mkfifo "$work/in-store"
-  target/review/store --port "$store" --record "$record" \
+  "$programs"/review/store --port "$store" --record "$record" \
     <>"$work/in-store" >"$work/store.out" 2>&1 &
   pids+=($!)
   upstream_in[store]=$work/in-store
@@ -99,7 +106,7 @@
   local n=$1 service=$2 id=$3
   shift 3
   mkfifo "$work/in-$id"
-  target/review/upstream --port "$(upstream_port "$n")" \
+  "$programs"/review/upstream --port "$(upstream_port "$n")" \
     --control "$(control "$n")" --service "$service" --id "$id" \
     --record "$record" "$@" <>"$work/in-$id" 2>"$work/err-$id" &
   upstream_pid[$id]=$!
@@ -149,7 +156,7 @@
 
 # start_node N: with the command of the deploy file.
 start_node () {
-  target/crocusbend mesh "$work/node$1.yaml" >>"$work/log$1" 2>&1 &
+  "$programs"/crocusbend mesh "$work/node$1.yaml" >>"$work/log$1" 2>&1 &
   node_pid[$1]=$!
   pids+=($!)
 }
@@ -176,7 +183,7 @@
 
 # call NODE ID METHOD PATH [KEY]: one request; prints the status.
 call () {
-  target/review/caller --port "$(callers "$1")" --record "$record" \
+  "$programs"/review/caller --port "$(callers "$1")" --record "$record" \
     "$2:$3:$4${5:+:$5}"
 }
 
