mesh: one loop for states to a zone and to a group; drop what nothing uses

nodes_broadcast_group_state repeated the loop of broadcast. The watcher's question whether it is suspended and the mesh's field for its store have had no user since sources.c decides who watches. No behaviour changes: check-unit, mesh.test, evacuate.test and sources.test pass, linters are clean.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -82,7 +82,6 @@
   struct poll_clock poll_clock;
   struct store_worker *worker;
   struct watcher *watcher;
-  struct store *watch_store; /* owned by WATCHER */
   struct egress *egress;
   struct keys *keys;
   struct nodes *nodes;
@@ -986,9 +985,9 @@
     s = open_servers (&m);
   if (s == STATUS_OK)
     {
-      m.watch_store = dialect->open_store (settings);
-      dialect->set_watch_timeout (m.watch_store, sources_wait_ms (m.sources));
-      m.watcher = watcher_start (m.watch_store, dialect->configuration_key,
+      struct store *st = dialect->open_store (settings);
+      dialect->set_watch_timeout (st, sources_wait_ms (m.sources));
+      m.watcher = watcher_start (st, dialect->configuration_key,
                                  settings->evacuation_close_ms == 0
                                      ? NULL
                                      : dialect->evacuation_prefix,
--- a/src/mesh/nodes.c
+++ b/src/mesh/nodes.c
@@ -1433,15 +1433,19 @@
   return peer == NULL ? 0 : clock_ns - peer->clock_offset_ns;
 }
 
+/* Send the state to the nodes of ZONE, or of all, for which IS_MEMBER returns
+   true.  Either may be NULL.  */
 static void
-broadcast (struct nodes *p, const char *zone)
+broadcast (struct nodes *p, const char *zone, nodes_filter *is_member,
+           void *arg)
 {
   struct frame_state state;
   fill_state (p, &state);
   for (GList *l = p->inbounds.head; l != NULL; l = l->next)
     {
       struct inbound *in = l->data;
-      if (in->state_sent && (zone == NULL || strcmp (zone, in->zone) == 0))
+      if (in->state_sent && (zone == NULL || strcmp (zone, in->zone) == 0)
+          && (is_member == NULL || is_member (arg, in->name)))
         link_send (in->link, frame_state (&p->self, false, &state));
     }
 }
@@ -1449,26 +1453,18 @@
 void
 nodes_broadcast_state (struct nodes *p)
 {
-  broadcast (p, NULL);
+  broadcast (p, NULL, NULL, NULL);
 }
 
 void
 nodes_broadcast_zone_state (struct nodes *p)
 {
-  broadcast (p, p->self.zone);
+  broadcast (p, p->self.zone, NULL, NULL);
 }
 
 void
 nodes_broadcast_group_state (struct nodes *p, nodes_filter *is_member,
                              void *arg)
 {
-  struct frame_state state;
-  fill_state (p, &state);
-  for (GList *l = p->inbounds.head; l != NULL; l = l->next)
-    {
-      struct inbound *in = l->data;
-      if (in->state_sent && strcmp (p->self.zone, in->zone) == 0
-          && is_member (arg, in->name))
-        link_send (in->link, frame_state (&p->self, false, &state));
-    }
+  broadcast (p, p->self.zone, is_member, arg);
 }
--- a/src/mesh/watcher.c
+++ b/src/mesh/watcher.c
@@ -281,12 +281,6 @@
   pthread_mutex_unlock (&w->lock);
 }
 
-bool
-watcher_is_suspended (const struct watcher *w)
-{
-  return ck_pr_load_int (&w->suspended) != 0;
-}
-
 bool
 watcher_is_healthy (const struct watcher *w)
 {
--- a/src/mesh/watcher.h
+++ b/src/mesh/watcher.h
@@ -42,8 +42,6 @@
    the store's copy ERA are known here; 0: not known.  */
 void watcher_resume (struct watcher *w, int64_t revision, uint32_t era);
 
-bool watcher_is_suspended (const struct watcher *w);
-
 /* Whether the store answered the last call.  Callable from any thread.  */
 bool watcher_is_healthy (const struct watcher *w);
 
