--- a/review/standin-2/drill.c
+++ b/review/standin-2/drill.c
@@ -24,6 +24,11 @@
    /ctl/served                answers how many client requests were answered
                               with 200, and how many were sent, since the last
                               such command
+   /ctl/drain/N?stay=M        upstream N reports that it drains; it serves for
+                              drain_ms after the ack and M ms longer, and exits
+   /ctl/slots?n=N             the requests that an upstream runs concurrently
+   /ctl/deadline?ms=M         how long a client waits
+   /ctl/burst?at=N&n=C&path=/P/   C client requests at the machine N at once
    /ctl/work?ms=M             how long a request runs at an upstream
    /ctl/load?gap=MS&from=N&to=M&path=/P/   one client request each MS at the
                               machines N to M in turn; gap 0: none
@@ -50,11 +55,12 @@
 enum
 {
   KEY_COUNT = 65536,
-  SLOTS = 9,
+  SLOTS_INITIAL = 9,
+  DRAIN_MS = 2000,
   CHECK_INTERVAL_MS = 20,
   /* OWNER: no two live upstreams hold the same key for longer.  */
   DOUBLE_MAX_MS = 500,
-  CLIENT_DEADLINE_MS = 2500,
+  CLIENT_DEADLINE_INITIAL_MS = 2500,
   BROKEN_PRINTED_MAX = 20
 };
 
@@ -118,6 +124,11 @@
   unsigned sequence;
   int64_t born_ms;
   uint32_t late_ms;
+  bool draining;
+  int64_t left_ns; /* when it got the ack that it drains; 0: not yet */
+  uint32_t stay_ms;
+  unsigned running;
+  uv_timer_t exit_timer;
   struct held_key *keys; /* KEY_COUNT */
 };
 
@@ -154,6 +165,8 @@
 static int64_t double_since_ns[KEY_COUNT];
 static uint32_t heartbeat_ms;
 static uint32_t work_ms = 40;
+static unsigned slots = SLOTS_INITIAL;
+static uint32_t client_deadline_ms = CLIENT_DEADLINE_INITIAL_MS;
 static uv_timer_t check_timer;
 static uv_timer_t load_timer;
 static uint32_t load_gap_ms;
@@ -567,9 +580,31 @@
   uv_timer_t timer;
   struct upstream *upstream;
   GString *call;
+  unsigned boot;
+  bool draining;
   char text[120];
 };
 
+static void kill_upstream (struct upstream *u);
+
+static void
+on_exit_timer (uv_timer_t *timer)
+{
+  kill_upstream (timer->data);
+}
+
+static void
+on_drain_answered (void *arg, const struct http_response *reply)
+{
+  struct upstream *u = arg;
+  if (reply->result != HTTP_COMPLETED || reply->status != 200
+      || u->left_ns != 0 || !u->draining)
+    return;
+  u->left_ns = clock_now_ns ();
+  record ("drain acked boot=%u", boot_of (u));
+  uv_timer_start (&u->exit_timer, on_exit_timer, DRAIN_MS + u->stay_ms, 0);
+}
+
 static void
 on_check_in_closed (uv_handle_t *handle)
 {
@@ -582,6 +617,11 @@
   struct check_in *c = timer->data;
   struct http_call_options options
       = { .done = on_check_in_answered, .timeout_ms = 1000 };
+  if (c->draining && c->boot == c->upstream->boot)
+    {
+      options.done = on_drain_answered;
+      options.arg = c->upstream;
+    }
   record ("check-in arrives %s", c->text);
   http_call (c->upstream->control, c->call, &options);
   uv_close ((uv_handle_t *)timer, on_check_in_closed);
@@ -599,10 +639,13 @@
   json_t *json = json_pack (
       "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service_name", u->service,
       "address", address, "zone", "arima-hall", "version", "v1",
-      "capacity_slots", SLOTS, "state", "ready", "warmup_left_ms", 0,
+      "capacity_slots", (int)slots, "state", u->draining ? "draining" : "ready",
+      "warmup_left_ms", 0,
       "sequence", (int)++u->sequence, "born", (json_int_t)u->born_ms);
   char *body = json_dumps (json, JSON_COMPACT);
   c->upstream = u;
+  c->boot = u->boot;
+  c->draining = u->draining;
   c->call = g_string_new (NULL);
   g_string_printf (c->call,
                    "POST /-/instances/%s/heartbeat HTTP/1.1\r\nHost: x\r\n"
@@ -629,9 +672,9 @@
   GString *call = g_string_new (NULL);
   char *body = g_strdup_printf (
       "{\"service_name\":\"%s\",\"address\":\"%s:%u\",\"version\":\"v1\","
-      "\"capacity_slots\":%d,\"state\":\"%s\",\"warmup_left_ms\":0,"
+      "\"capacity_slots\":%u,\"state\":\"%s\",\"warmup_left_ms\":0,"
       "\"sequence\":1}",
-      u->service, u->app.host, (unsigned)u->app.port, SLOTS, state);
+      u->service, u->app.host, (unsigned)u->app.port, slots, state);
   upstream_id (u, id);
   if (own_id != NULL)
     g_strlcpy (id, own_id, sizeof id);
@@ -814,6 +857,7 @@
             id, boot_of (r->upstream));
   snprintf (body, sizeof body, "answer to %s", id);
   r->x->on_disconnect = NULL;
+  r->upstream->running--;
   http_respond (r->x, 200, head, body, strlen (body));
   uv_close ((uv_handle_t *)timer, on_running_closed);
 }
@@ -822,6 +866,8 @@
 on_sender_gone (struct http_server_exchange *x)
 {
   struct running *r = x->user_data;
+  r->upstream->running--;
+  record ("cut id=%s", headers_find (x->headers, "Crocusbend-Attempt-Id"));
   uv_close ((uv_handle_t *)&r->timer, on_running_closed);
 }
 
@@ -838,6 +884,11 @@
               id);
       return;
     }
+  if (u->left_ns != 0
+      && clock_now_ns () - u->left_ns > DRAIN_MS * NS_PER_MS)
+    broken ("DRAIN", "%s reaches boot %u %lld ms after the ack", id,
+            boot_of (u),
+            (long long)((clock_now_ns () - u->left_ns) / NS_PER_MS));
   if (++q->runs > 1 && !q->idempotent)
     broken ("TWICE", "%s runs once more, at boot %u", id, boot_of (u));
   if (!q->idempotent && (q->status == 503 || q->status == 429))
@@ -880,9 +931,12 @@
            && (number < 0 || number >= KEY_COUNT
                || u->keys[number].until_ns <= clock_now_ns ()))
     http_respond (x, 421, "Crocusbend-Not-Executed: 1\r\n", "", 0);
+  else if (u->running >= slots)
+    http_respond (x, 503, "Crocusbend-Not-Executed: 1\r\n", "", 0);
   else
     {
       struct running *r = g_new0 (struct running, 1);
+      u->running++;
       count_run (u, x, id, key);
       r->x = x;
       r->upstream = u;
@@ -907,6 +961,9 @@
   if (!same_id)
     u->id_no++;
   u->sequence = 0;
+  u->draining = false;
+  u->left_ns = 0;
+  u->running = 0;
   u->born_ms = wall_ms ();
   memset (u->keys, 0, KEY_COUNT * sizeof *u->keys);
   record ("upstream starts boot=%u id_no=%u", boot_of (u), u->id_no);
@@ -923,6 +980,7 @@
     return;
   record ("upstream killed boot=%u", boot_of (u));
   uv_timer_stop (&u->heartbeat_timer);
+  uv_timer_stop (&u->exit_timer);
   http_server_close (u->server);
   u->server = NULL;
 }
@@ -960,14 +1018,14 @@
   g_string_printf (out,
                    "POST %s%llu HTTP/1.1\r\nHost: drill.example\r\n"
                    "Crocusbend-Attempt-Id: %s\r\n"
-                   "Crocusbend-Timeout-Ms: %d\r\n"
+                   "Crocusbend-Timeout-Ms: %u\r\n"
                    "Crocusbend-Shard-Key: %u\r\nContent-Length: 5\r\n\r\nhello",
                    load_path, (unsigned long long)request_count, q->id,
-                   CLIENT_DEADLINE_MS, key);
+                   client_deadline_ms, key);
   struct http_call_options options = { .done = on_client_answered,
                                        .arg = q,
                                        .fresh = true,
-                                       .timeout_ms = CLIENT_DEADLINE_MS + 500 };
+                                       .timeout_ms = client_deadline_ms + 500 };
   record ("sent id=%s machine=%u key=%u", q->id, at->index, key);
   sent_since++;
   http_call (at->clients, out, &options);
@@ -1064,6 +1122,31 @@
       g_free (id);
       g_free (state);
     }
+  else if (g_str_has_prefix (path, "/ctl/drain/"))
+    {
+      u = find_upstream (x, "/ctl/drain/");
+      if (u != NULL)
+        {
+          u->draining = true;
+          u->stay_ms = (uint32_t)query_number (x, "stay", 1000);
+          send_check_in (u);
+        }
+    }
+  else if (g_str_has_prefix (path, "/ctl/slots"))
+    slots = (unsigned)query_number (x, "n", SLOTS_INITIAL);
+  else if (g_str_has_prefix (path, "/ctl/deadline"))
+    client_deadline_ms
+        = (uint32_t)query_number (x, "ms", CLIENT_DEADLINE_INITIAL_MS);
+  else if (g_str_has_prefix (path, "/ctl/burst"))
+    {
+      int64_t count = query_number (x, "n", 1);
+      int64_t at = query_number (x, "at", 1);
+      char *to = query (x, "path");
+      g_strlcpy (load_path, to == NULL ? "/push/" : to, sizeof load_path);
+      g_free (to);
+      for (int64_t i = 0; i < count && at >= 1 && at <= upstreams->len; i++)
+        send_request (g_ptr_array_index (upstreams, (guint)at - 1));
+    }
   else if (g_str_has_prefix (path, "/ctl/work"))
     work_ms = (uint32_t)query_number (x, "ms", 40);
   else if (g_str_has_prefix (path, "/ctl/load"))
@@ -1142,6 +1225,8 @@
   u->clients = http_client_new (&loop, &u->callers, 200);
   uv_timer_init (&loop, &u->heartbeat_timer);
   u->heartbeat_timer.data = u;
+  uv_timer_init (&loop, &u->exit_timer);
+  u->exit_timer.data = u;
   g_ptr_array_add (upstreams, u);
   g_strfreev (parts);
   return true;
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -47,12 +47,12 @@
   exec 9>&-
 }
 
-# start_drill COUNT SERVICE: the platform, and COUNT machines with upstreams of
-# SERVICE, which is divided by key.
+# start_drill COUNT SERVICE [KEYED]: the platform, and COUNT machines with
+# upstreams of SERVICE, which is divided by key unless KEYED is "no".
 start_drill () {
   local n machines=()
   for n in $(seq "$1"); do
-    machines+=("$2:yes:$net.$n/8145:$net.$n/8144:$net.$n/8147")
+    machines+=("$2:${3:-yes}:$net.$n/8145:$net.$n/8144:$net.$n/8147")
   done
   "$drill_program" "$store" "$record" "$heartbeat_ms" "${machines[@]}" \
     >"$work/drill.out" 2>&1 &
@@ -89,9 +89,10 @@
   echo "script $*" >>"$record"
 }
 
-configure () { # configure VERSION SERVICE
+# configure VERSION SERVICE [SHARDED [TIMEOUT_MS]]
+configure () {
   ctl "put?key=op/config" \
-    "{\"version\":\"r$1\",\"entries\":[{\"resource_type\":\"routes\",\"metadata\":{\"name\":\"push\"},\"spec\":{\"host\":\"drill.example\",\"prefix\":\"/push/\",\"kind\":\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":1,\"service_name\":\"$2\",\"max_attempts\":2}},{\"resource_type\":\"services\",\"metadata\":{\"name\":\"$2\"},\"spec\":{\"health_path\":\"/health\",\"max_connections\":110,\"protocol\":\"h1\",\"tls_mode\":false,\"sharded\":true,\"warm_s\":2.0,\"lease_grants\":\"call\"}},{\"resource_type\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}]}"
+    "{\"version\":\"r$1\",\"entries\":[{\"resource_type\":\"routes\",\"metadata\":{\"name\":\"push\"},\"spec\":{\"host\":\"drill.example\",\"prefix\":\"/push/\",\"kind\":\"non_idempotent\",\"timeout_ms\":${4:-2000},\"target_latency_ms\":400,\"priority\":1,\"service_name\":\"$2\",\"max_attempts\":2}},{\"resource_type\":\"services\",\"metadata\":{\"name\":\"$2\"},\"spec\":{\"health_path\":\"/health\",\"max_connections\":110,\"protocol\":\"h1\",\"tls_mode\":false,\"sharded\":${3:-true},\"warm_s\":2.0,\"lease_grants\":\"call\"}},{\"resource_type\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}]}"
 }
 
 wait_held () { # wait_held COMMAND LEAST SECONDS: that many keys are held
