A reset that a write finds first no longer ends a response

Callers got the beginning of a response as a whole one, with a length of its own: a target had answered a long upload early, without a length, and reset the connection while the upload was still written.

Cause: the kernel reports a reset once, to whichever call comes first. A write under way takes it, and the read that follows finds an end like that of an orderly close; net_closed_orderly asked only the read.

The client now keeps the first error of its writes. It decides without a race: a reset leaves the write ECONNRESET, and a peer that had closed before it reset leaves it EPIPE, after all its bytes were queued for reading. libuv reports a failed write before it reads again.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -61,6 +61,7 @@
   const char *bound;    /* the bound that the response exceeds, or NULL */
   unsigned open_handles;
   uint32_t idle_ms; /* how long it is kept without a call */
+  int write_error;  /* the first of its writes; 0: none */
   bool connected;
   bool used; /* it carried a call before CALL */
   bool is_idle;
@@ -470,7 +471,7 @@
   struct connection *c = stream->data;
   if (c->closed || length == 0)
     return;
-  if (length == UV_EOF && net_closed_orderly (stream))
+  if (length == UV_EOF && net_closed_orderly (stream, c->write_error))
     {
       on_eof (c);
       return;
@@ -502,6 +503,19 @@
                    "timeout");
 }
 
+static void
+record_write (struct connection *c, int error)
+{
+  if (c->write_error == 0)
+    c->write_error = error;
+}
+
+static void
+on_written (uv_stream_t *stream, int error)
+{
+  record_write (stream->data, error);
+}
+
 static void
 send_call (struct connection *c)
 {
@@ -518,7 +532,8 @@
   c->parser.data = c;
   uv_timer_start (&c->timer, on_call_timer, call->options.timeout_ms, 0);
   /* If the write fails, the read callback sees the end of the stream.  */
-  net_send ((uv_stream_t *)&c->tcp, message);
+  record_write (c,
+                net_send_notify ((uv_stream_t *)&c->tcp, message, on_written));
 }
 
 static void
--- a/src/http/net.c
+++ b/src/http/net.c
@@ -32,22 +32,21 @@
 on_written (uv_write_t *request, int status)
 {
   struct pending_write *w = (struct pending_write *)request;
-  (void)status; /* the read callback sees the end of the stream */
   uv_stream_t *stream = request->handle;
   net_written_fn *written = w->written;
   g_string_free (w->data, TRUE);
   free (w);
   if (written != NULL)
-    written (stream);
+    written (stream, status);
 }
 
-bool
+int
 net_send (uv_stream_t *stream, GString *data)
 {
   return net_send_notify (stream, data, NULL);
 }
 
-bool
+int
 net_send_notify (uv_stream_t *stream, GString *data, net_written_fn *written)
 {
   uv_buf_t buffer = uv_buf_init (data->str, (unsigned)data->len);
@@ -55,12 +54,12 @@
   if (sent == (int)data->len)
     {
       g_string_free (data, TRUE);
-      return true;
+      return 0;
     }
   if (sent < 0 && sent != UV_EAGAIN)
     {
       g_string_free (data, TRUE);
-      return false;
+      return sent;
     }
   if (sent > 0)
     g_string_erase (data, 0, sent);
@@ -68,11 +67,12 @@
   w->data = data;
   w->written = written;
   buffer = uv_buf_init (data->str, (unsigned)data->len);
-  if (uv_write (&w->request, stream, &buffer, 1, on_written) == 0)
-    return true;
+  int error = uv_write (&w->request, stream, &buffer, 1, on_written);
+  if (error == 0)
+    return 0;
   g_string_free (data, TRUE);
   free (w);
-  return false;
+  return error;
 }
 
 size_t
@@ -94,10 +94,12 @@
 }
 
 bool
-net_closed_orderly (const uv_stream_t *stream)
+net_closed_orderly (const uv_stream_t *stream, int write_error)
 {
   uv_os_fd_t fd;
   char byte;
+  if (write_error != 0 && write_error != UV_EPIPE)
+    return false;
   if (uv_fileno ((const uv_handle_t *)stream, &fd) != 0)
     return false;
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
--- a/src/http/net.h
+++ b/src/http/net.h
@@ -9,15 +9,16 @@
 #include <uv.h>
 
 /* Write DATA to STREAM; takes ownership of DATA.  The loop writes what the
-   kernel does not accept at once.  False if the write fails; the read callback
-   of the stream then sees its end as well.  */
-bool net_send (uv_stream_t *stream, GString *data);
+   kernel does not accept at once.  Returns 0 or libuv's error of the write;
+   the read callback of the stream then sees its end as well.  */
+int net_send (uv_stream_t *stream, GString *data);
 
-/* The same; WRITTEN, if not NULL, is called with STREAM when the loop has
-   written what the kernel did not accept at once, or STREAM is closed.  */
-typedef void net_written_fn (uv_stream_t *stream);
-bool net_send_notify (uv_stream_t *stream, GString *data,
-                      net_written_fn *written);
+/* The same; WRITTEN, if not NULL, is called with STREAM and 0 or the error
+   when the loop has written what the kernel did not accept at once, or STREAM
+   is closed.  */
+typedef void net_written_fn (uv_stream_t *stream, int error);
+int net_send_notify (uv_stream_t *stream, GString *data,
+                     net_written_fn *written);
 
 /* The number of bytes that the loop has yet to write.  */
 size_t net_pending_bytes (const uv_stream_t *stream);
@@ -29,8 +30,10 @@
 size_t net_undelivered_bytes (const uv_stream_t *stream);
 
 /* Whether STREAM, whose end libuv has reported, was closed by its peer and not
-   reset.  After a short read libuv reports a reset as UV_EOF.  */
-bool net_closed_orderly (const uv_stream_t *stream);
+   reset.  WRITE_ERROR is the first error of a write to it, or 0: the kernel
+   reports a reset once, to whichever read or write comes first, and after that
+   an end.  A peer that closes before it resets leaves a write UV_EPIPE.  */
+bool net_closed_orderly (const uv_stream_t *stream, int write_error);
 
 /* What the kernel knows of the peer of a connection.  */
 struct net_peer_info
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -393,8 +393,9 @@
 static void resume_reading (struct connection *c);
 
 static void
-on_written (uv_stream_t *stream)
+on_written (uv_stream_t *stream, int error)
 {
+  (void)error; /* the read callback sees the end of the stream */
   count_responses (stream->data);
   resume_reading (stream->data);
 }
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <cmocka.h>
 #include <errno.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -628,6 +629,96 @@
   g_free (test.client);
 }
 
+/* Fault: a reset that a write of the request finds first looks like the end of
+   a response without a length to the read that follows it.  */
+
+enum
+{
+  UPLOADS = 24,
+  UPLOAD_BYTES = 4 << 20
+};
+
+/* Sends the beginning of a response to each connection of the listener *ARG
+   and ends it while the request is still written: by a reset, or, for the last
+   one, by an orderly close that reads on.  */
+static void *
+respond_early (void *arg)
+{
+  static const char response[] = "HTTP/1.1 200 OK\r\n\r\npart";
+  static char bytes[65536];
+  for (int i = 0; i <= UPLOADS; i++)
+    {
+      int fd = accept (*(int *)arg, NULL, NULL);
+      if (i % 2 == 1)
+        recv (fd, bytes, sizeof bytes, 0);
+      send (fd, response, strlen (response), MSG_NOSIGNAL);
+      if (i < UPLOADS)
+        {
+          close_with_reset (fd);
+          continue;
+        }
+      shutdown (fd, SHUT_WR);
+      while (recv (fd, bytes, sizeof bytes, 0) > 0)
+        ;
+      close (fd);
+    }
+  return NULL;
+}
+
+struct upload_end
+{
+  bool ended;
+  bool completed;
+};
+
+static void
+note_upload (void *arg, const struct http_response *response)
+{
+  struct upload_end *end = arg;
+  end->ended = true;
+  end->completed = response->result == HTTP_COMPLETED;
+}
+
+static void
+resets_during_uploads_end_no_response (void **state)
+{
+  uv_loop_t loop;
+  struct settings_address address = { "127.0.0.1", free_port () };
+  struct sockaddr_in at = loopback (address.port);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  pthread_t peer;
+  int completed = 0;
+  struct upload_end end;
+  (void)state;
+  uv_loop_init (&loop);
+  assert_int_equal (bind (listener, (struct sockaddr *)&at, sizeof at), 0);
+  listen (listener, 1);
+  struct http_client *client = http_client_new (&loop, &address, 1);
+  struct http_call_options options
+      = { .done = note_upload, .arg = &end, .timeout_ms = 5000 };
+  pthread_create (&peer, NULL, respond_early, &listener);
+  for (int i = 0; i <= UPLOADS; i++)
+    {
+      GString *message = g_string_new (NULL);
+      g_string_printf (message,
+                       "POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
+                       UPLOAD_BYTES);
+      g_string_set_size (message, message->len + UPLOAD_BYTES);
+      end = (struct upload_end){ 0 };
+      http_call (client, message, &options);
+      while (!end.ended)
+        uv_run (&loop, UV_RUN_ONCE);
+      if (i < UPLOADS)
+        completed += end.completed;
+    }
+  pthread_join (peer, NULL);
+  assert_int_equal (completed, 0);
+  assert_true (end.completed);
+  close (listener);
+  close_loop (&loop);
+  g_free (client);
+}
+
 static void
 count_failure (void *arg, const struct http_response *response)
 {
@@ -826,6 +917,7 @@
     cmocka_unit_test (paused_connections_notice_that_callers_leave),
     cmocka_unit_test (cancelled_calls_are_not_delivered),
     cmocka_unit_test (client_follows_script),
+    cmocka_unit_test (resets_during_uploads_end_no_response),
     cmocka_unit_test (endless_responses_end),
     cmocka_unit_test (endless_responses_share_a_budget),
   };
