Answers of targets are read by one strict definition of a message

Callers of `crocusbend mesh` got answers that were none, as 200 with a body: fields whose names held a blank, status 600 and 999, the trailer of a chunked body as a field of the head, coded or wrongly framed bodies. Status 000 was taken for an interim answer and ended at the request's deadline.

Cause: http_parser reads leniently as Debian builds it (a blank is part of a name, what follows a blank in a chunk's size is dropped, a folded line joins the value before it), its callbacks don't tell trailers from heads, and nothing checked what it delivered.

http/reader.c reads messages by RFC 9112 and refuses the rest with a named fault: lines, start line, status 100 to 599 but for 101, names, values, one length, transfer coding, chunks, trailers, which it drops. A list of checks in the callbacks of the library would not see line ends, folded lines and the lines of chunks. A refused answer fails as a closed connection does (502, not sent again), is counted in answers_malformed_total and logged with its fault as ANSWER_MALFORMED. Probes, grants and releases use the same client.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,10 +1,9 @@
 #include "http/client.h"
 
 #include "base/clock.h"
-#include "http/bounds.h"
 #include "http/net.h"
+#include "http/reader.h"
 #include "settings/address.h"
-#include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -34,6 +33,8 @@
   uint32_t body_bytes_max;
   http_unbounded_fn *on_unbounded; /* may be NULL */
   void *unbounded_arg;
+  http_malformed_fn *on_malformed; /* may be NULL */
+  void *malformed_arg;
   const struct http_memory *memory; /* may be NULL */
   size_t counted_bytes;             /* in MEMORY, for all bodies */
   GQueue idle_connections;          /* last used first */
@@ -46,7 +47,7 @@
   uv_tcp_t tcp;
   uv_timer_t timer;
   uv_connect_t connect_request;
-  http_parser parser;
+  struct http_reader *reader;
   struct http_client *client;
   GList open_link;
   GList idle_link;
@@ -54,10 +55,8 @@
   struct headers *headers;
   GString *body;
   size_t received;      /* bytes since CALL was sent */
-  size_t body_received; /* bytes of bodies in RECEIVED */
   size_t skipped_body;  /* bytes of bodies of skipped messages */
   size_t counted_bytes; /* in the client's memory */
-  uint32_t chunk_count; /* chunks in RECEIVED */
   const char *bound;    /* the bound that the response exceeds, or NULL */
   unsigned open_handles;
   uint32_t idle_ms; /* how long it is kept without a call */
@@ -124,6 +123,7 @@
   struct connection *c = handle->data;
   if (--c->open_handles > 0)
     return;
+  http_reader_free (c->reader);
   headers_free (c->headers);
   g_string_free (c->body, TRUE);
   g_free (c);
@@ -163,57 +163,47 @@
   start_queued_calls (client);
 }
 
-/* Parsing.  */
+/* Reading.  */
 
-static int
+static bool
 exceed (struct connection *c, const char *bound)
 {
   c->bound = bound;
-  return -1;
+  return false;
 }
 
-static int
-on_begin (http_parser *p)
+static bool
+on_start (void *arg, const struct http_start_line *line)
 {
-  struct connection *c = p->data;
-  /* Bytes after the complete response belong to no call.  */
-  if (c->response_complete)
-    return 1;
+  struct connection *c = arg;
+  (void)line;
   headers_clear (c->headers);
   g_string_truncate (c->body, 0);
   c->skip_message = false;
-  return 0;
-}
-
-static int
-on_field (http_parser *p, const char *at, size_t length)
-{
-  struct connection *c = p->data;
-  headers_append_name (c->headers, at, length);
-  if (headers_field_count (c->headers) > HTTP_FIELDS_MAX)
-    return exceed (c, "fields");
-  return 0;
+  return true;
 }
 
-static int
-on_value (http_parser *p, const char *at, size_t length)
+static bool
+on_field (void *arg, const char *name, size_t name_length, const char *value,
+          size_t value_length)
 {
-  headers_append_value (((struct connection *)p->data)->headers, at, length);
-  return 0;
+  struct connection *c = arg;
+  headers_append (c->headers, name, name_length, value, value_length);
+  return true;
 }
 
-static int
-on_headers (http_parser *p)
+static bool
+on_head (void *arg)
 {
-  struct connection *c = p->data;
+  struct connection *c = arg;
   struct http_call *call = c->call;
-  if (headers_count (c->headers, "Content-Length") > 1)
-    return -1;
   c->skip_message
-      = p->status_code < 200
+      = http_reader_status (c->reader) < 200
         || (call->options.matches != NULL
             && !call->options.matches (call->options.arg, c->headers));
-  return call->options.head_only && !c->skip_message ? 1 : 0;
+  if (call->options.head_only && !c->skip_message)
+    http_reader_skip_body (c->reader);
+  return true;
 }
 
 static void
@@ -286,12 +276,11 @@
   return true;
 }
 
-static int
-on_body (http_parser *p, const char *at, size_t length)
+static bool
+on_body (void *arg, const char *data, size_t length)
 {
-  struct connection *c = p->data;
+  struct connection *c = arg;
   size_t *total = c->skip_message ? &c->skipped_body : &c->body->len;
-  c->body_received += length;
   if (length
       > c->client->body_bytes_max - MIN (*total, c->client->body_bytes_max))
     return exceed (c, "body");
@@ -300,40 +289,30 @@
   else
     {
       if (c->bound != NULL || !reserve_body (c, length))
-        return -1;
-      g_string_append_len (c->body, at, (gssize)length);
+        return false;
+      g_string_append_len (c->body, data, (gssize)length);
     }
-  return 0;
+  return true;
 }
 
-static int
-on_chunk (http_parser *p)
+static void
+on_complete (void *arg)
 {
-  ((struct connection *)p->data)->chunk_count++;
-  return 0;
+  struct connection *c = arg;
+  if (c->bound != NULL || c->skip_message)
+    return;
+  c->response_complete = true;
+  c->keep_alive = http_reader_keeps_alive (c->reader);
+  /* Bytes after the complete response belong to no call.  */
+  http_reader_pause (c->reader);
 }
 
-static int
-on_complete (http_parser *p)
-{
-  struct connection *c = p->data;
-  if (c->bound != NULL)
-    return -1;
-  if (c->skip_message)
-    return 0;
-  c->response_complete = true;
-  c->keep_alive = http_should_keep_alive (p) != 0;
-  return 0;
-}
-
-static const http_parser_settings callbacks = {
-  .on_message_begin = on_begin,
-  .on_header_field = on_field,
-  .on_header_value = on_value,
-  .on_headers_complete = on_headers,
-  .on_body = on_body,
-  .on_message_complete = on_complete,
-  .on_chunk_header = on_chunk,
+static const struct http_reader_ops reader_ops = {
+  .start = on_start,
+  .field = on_field,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
 };
 
 static uint32_t
@@ -382,7 +361,7 @@
   struct http_client *client = c->client;
   struct http_response response = {
     .result = HTTP_COMPLETED,
-    .status = c->parser.status_code,
+    .status = http_reader_status (c->reader),
     .headers = c->headers,
     .body = c->body->str,
     .body_length = c->body->len,
@@ -418,9 +397,7 @@
       start_queued_calls (c->client);
       return;
     }
-  /* A response without a length ends when the connection is closed.  */
-  http_parser_execute (&c->parser, &callbacks, NULL, 0);
-  if (c->response_complete && HTTP_PARSER_ERRNO (&c->parser) == HPE_OK)
+  if (http_reader_end (c->reader) && c->response_complete)
     {
       c->keep_alive = false;
       handle_response (c, true);
@@ -429,40 +406,34 @@
     fail_connection (c, HTTP_FAILED, "closed");
 }
 
-/* Whether the bytes of the call's messages, skipped ones included, that are no
-   bodies exceed the bound of a head.  */
-static bool
-head_too_large (const struct connection *c)
+static void
+fail_malformed (struct connection *c, enum http_fault fault)
 {
-  return HTTP_PARSER_ERRNO (&c->parser) == HPE_HEADER_OVERFLOW
-         || c->received - c->body_received
-                > HTTP_HEAD_BYTES_MAX
-                      + (size_t)c->chunk_count * HTTP_CHUNK_FRAME_BYTES;
+  struct http_client *client = c->client;
+  if (client->on_malformed != NULL)
+    client->on_malformed (client->malformed_arg, http_fault_word (fault));
+  fail_connection (c, HTTP_FAILED, "malformed");
 }
 
 static void
-parse (struct connection *c, const char *data, size_t length)
+read_response (struct connection *c, const char *data, size_t length)
 {
   c->received += length;
-  /* The limit is one variable of the parser's library, which the server sets
-     as well.  */
-  http_parser_set_max_header_size (HTTP_HEAD_BYTES_MAX);
-  size_t parsed = http_parser_execute (&c->parser, &callbacks, data, length);
-  bool valid = HTTP_PARSER_ERRNO (&c->parser) == HPE_OK && parsed == length
-               && !c->parser.upgrade;
+  size_t read = http_reader_feed (c->reader, data, length);
+  enum http_fault fault = http_reader_fault (c->reader);
   if (c->response_complete)
     {
-      if (!valid)
+      if (read < length)
         report_unbounded (c, "excess", c->received);
-      handle_response (c, valid);
+      handle_response (c, read == length);
       return;
     }
-  if (c->bound == NULL && head_too_large (c))
-    c->bound = "head";
+  if (c->bound == NULL && http_fault_is_bound (fault))
+    c->bound = http_fault_word (fault);
   if (c->bound != NULL)
     fail_connection (c, HTTP_FAILED, c->bound);
-  else if (!valid)
-    fail_connection (c, HTTP_FAILED, "malformed");
+  else if (fault != HTTP_FAULT_NONE)
+    fail_malformed (c, fault);
 }
 
 static void
@@ -488,7 +459,7 @@
       close_connection (c);
       return;
     }
-  parse (c, buffer->base, (size_t)length);
+  read_response (c, buffer->base, (size_t)length);
 }
 
 /* Calls.  */
@@ -525,11 +496,8 @@
   c->response_complete = false;
   c->bound = NULL;
   c->received = 0;
-  c->body_received = 0;
   c->skipped_body = 0;
-  c->chunk_count = 0;
-  http_parser_init (&c->parser, HTTP_RESPONSE);
-  c->parser.data = c;
+  http_reader_reset (c->reader);
   uv_timer_start (&c->timer, on_call_timer, call->options.timeout_ms, 0);
   /* If the write fails, the read callback sees the end of the stream.  */
   record_write (c,
@@ -561,6 +529,7 @@
 {
   struct connection *c = g_new0 (struct connection, 1);
   c->client = client;
+  c->reader = http_reader_new (HTTP_READ_RESPONSES, &reader_ops, c);
   c->headers = headers_new ();
   c->body = g_string_new (NULL);
   c->open_handles = 2;
@@ -666,6 +635,14 @@
   client->unbounded_arg = arg;
 }
 
+void
+http_client_on_malformed (struct http_client *client, http_malformed_fn *fn,
+                          void *arg)
+{
+  client->on_malformed = fn;
+  client->malformed_arg = arg;
+}
+
 struct http_call *
 http_call (struct http_client *client, GString *message,
            const struct http_call_options *options)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -87,6 +87,12 @@
 void http_client_on_unbounded (struct http_client *client,
                                http_unbounded_fn *fn, void *arg);
 
+/* Called when a response that is not well-formed (http/reader.h) fails its
+   call.  FAULT is one word.  */
+typedef void http_malformed_fn (void *arg, const char *fault);
+void http_client_on_malformed (struct http_client *client,
+                               http_malformed_fn *fn, void *arg);
+
 /* Send MESSAGE, a complete request, and take ownership of it.  The call waits
    in a queue while all connections are in use.  DONE is called once, never
    from within this function, unless the call is cancelled.  */
--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -77,6 +77,14 @@
   g_string_append_len (h->text, text, (gssize)length);
 }
 
+void
+headers_append (struct headers *h, const char *name, size_t name_length,
+                const char *value, size_t value_length)
+{
+  headers_append_name (h, name, name_length);
+  headers_append_value (h, value, value_length);
+}
+
 static const char *
 name_of (const struct headers *h, guint i)
 {
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -21,6 +21,10 @@
 void headers_append_name (struct headers *h, const char *text, size_t length);
 void headers_append_value (struct headers *h, const char *text, size_t length);
 
+/* Append a field; neither NAME nor VALUE has zero bytes.  */
+void headers_append (struct headers *h, const char *name, size_t name_length,
+                     const char *value, size_t value_length);
+
 /* The value of the first field NAME (case-insensitive), or NULL.  */
 const char *headers_find (const struct headers *h, const char *name);
 
--- a/src/mesh/egress.c
+++ b/src/mesh/egress.c
@@ -815,6 +815,15 @@
              g->view.id, cause, bytes, lineup_running (g->lineup));
 }
 
+static void
+on_malformed (void *arg, const char *fault)
+{
+  struct egress *g = arg;
+  counter_add (COUNTER_answers_malformed_total, 1);
+  log_event (EV_ANSWER_MALFORMED, "target=%s fault=%s running=%u", g->view.id,
+             fault, lineup_running (g->lineup));
+}
+
 struct egress *
 egress_open (uv_loop_t *loop, const struct dialect *dialect,
              const struct settings *settings, const struct egress_hooks *hooks)
@@ -828,9 +837,11 @@
   g->client = http_client_new (loop, &settings->target,
                                settings->target_slots + SPARE_CONNECTIONS);
   http_client_on_unbounded (g->client, on_unbounded, g);
+  http_client_on_malformed (g->client, on_malformed, g);
   g->control_client
       = http_client_new (loop, &settings->target, CONTROL_CONNECTIONS);
   http_client_set_body_max (g->control_client, CONTROL_BODY_BYTES);
+  http_client_on_malformed (g->control_client, on_malformed, g);
   g->lineup = lineup_new (settings->target_slots);
   g->cold_needs_policy = settings->cold_needs_policy;
   g->reads_load = settings->target_states_load;
--- a/test/standin/standin_garbler.c
+++ b/test/standin/standin_garbler.c
@@ -22,6 +22,14 @@
      head       it has a head without end
      fields     it has header fields without end
      interim    interim answers come without end
+     rewrite    it is the body of the command, in which {fields}, {length} and
+                {body} stand for the fields of the answer but its length, the
+                field of that, and the body; after {reset} the connection is
+                reset, after {end} it is closed in an orderly way
+
+   POST /early=N answers the next N such calls here, by their heads, while
+   their bodies are still sent; POST /delay=MS is the time from there to a
+   reset.
 
    POST /random=SEED spoils one answer in RANDOM_SHARE at random, until POST
    /calm; it prints "spoiled N" after POST /count.  An answer without end is
@@ -62,12 +70,15 @@
   HEAD,
   FIELDS,
   INTERIM,
+  REWRITE,
+  EARLY,
   FAULT_COUNT
 };
 
 static const char *const fault_names[FAULT_COUNT]
-    = { "late",    "double", "cut",    "none", "junk",   "anonymous", "refuse",
-        "swallow", "body",   "chunks", "head", "fields", "interim" };
+    = { "late",      "double", "cut",     "none",    "junk",
+        "anonymous", "refuse", "swallow", "body",    "chunks",
+        "head",      "fields", "interim", "rewrite", "early" };
 static const char refusal[] = "HTTP/1.1 421 Misdirected\r\n"
                               "Crocusbend-Not-Executed: 1\r\n"
                               "Content-Length: 0\r\n\r\n";
@@ -98,6 +109,7 @@
   uv_tcp_t node;
   uv_tcp_t target;
   uv_connect_t connect;
+  uv_timer_t reset_timer;
   GString *early;    /* read from the node before the target was connected */
   GString *late;     /* comes before the next answer; NULL: nothing */
   bool late_refusal; /* it is a copy of a refusal */
@@ -105,6 +117,7 @@
   bool connected;
   bool closed;
   bool endless;
+  bool discards; /* what the node still sends */
   unsigned open_handles;
   enum fault fault; /* of an endless answer */
 };
@@ -114,6 +127,8 @@
     = { LIMIT_BYTES, LIMIT_BYTES, CONTROL_TIMEOUT_MS, CONTROL_TIMEOUT_MS };
 static unsigned left[FAULT_COUNT];
 static char match[128];
+static GString *template; /* of rewritten answers */
+static unsigned reset_delay_ms;
 static GString *last_late; /* the last answer that is late */
 static GRand *generator;   /* NULL: nothing is spoiled at random */
 static unsigned spoiled;
@@ -138,6 +153,7 @@
   p->closed = true;
   uv_close ((uv_handle_t *)&p->node, on_closed);
   uv_close ((uv_handle_t *)&p->target, on_closed);
+  uv_close ((uv_handle_t *)&p->reset_timer, on_closed);
 }
 
 static void
@@ -146,6 +162,78 @@
   net_send ((uv_stream_t *)to, g_string_new_len (text, (gssize)length));
 }
 
+/* Rewritten answers.  */
+
+static void
+on_reset_timer (uv_timer_t *timer)
+{
+  struct pair *p = timer->data;
+  uv_os_fd_t fd;
+  if (uv_fileno ((uv_handle_t *)&p->node, &fd) == 0)
+    net_reset_at_close (fd);
+  close_pair (p);
+}
+
+static void
+on_shut_down (uv_shutdown_t *request, int status)
+{
+  (void)status;
+  g_free (request);
+}
+
+static void
+end_orderly (struct pair *p)
+{
+  uv_shutdown_t *request = g_new0 (uv_shutdown_t, 1);
+  p->discards = true;
+  if (uv_shutdown (request, (uv_stream_t *)&p->node, on_shut_down) != 0)
+    g_free (request);
+}
+
+/* Remove the line that begins with NAME from FIELDS and return it.  */
+static char *
+take_field (GString *fields, const char *name)
+{
+  GString *taken = g_string_new (NULL);
+  const char *at = strstr (fields->str, name);
+  const char *end = at == NULL ? NULL : strstr (at, "\r\n");
+  if (end == NULL)
+    return g_string_free (taken, FALSE);
+  g_string_append_len (taken, at, end + 2 - at);
+  g_string_erase (fields, at - fields->str, (gssize)taken->len);
+  return g_string_free (taken, FALSE);
+}
+
+static void
+rewrite_answer (struct pair *p, const char *answer, size_t length)
+{
+  const char *line_end = g_strstr_len (answer, (gssize)length, "\r\n");
+  const char *head_end = g_strstr_len (answer, (gssize)length, "\r\n\r\n");
+  if (head_end == NULL)
+    return;
+  GString *fields
+      = g_string_new_len (line_end + 2, head_end + 2 - (line_end + 2));
+  char *length_field = take_field (fields, "Content-Length:");
+  char *body
+      = g_strndup (head_end + 4, (gsize)(answer + length - (head_end + 4)));
+  GString *text = g_string_new_len (template->str, (gssize) template->len);
+  bool resets = g_string_replace (text, "{reset}", "", 1) > 0;
+  bool ends = g_string_replace (text, "{end}", "", 1) > 0;
+  g_string_replace (text, "{fields}", fields->str, 1);
+  g_string_replace (text, "{length}", length_field, 1);
+  g_string_replace (text, "{body}", body, 1);
+  net_send ((uv_stream_t *)&p->node, text);
+  if (resets && reset_delay_ms == 0)
+    on_reset_timer (&p->reset_timer);
+  else if (resets)
+    uv_timer_start (&p->reset_timer, on_reset_timer, reset_delay_ms, 0);
+  else if (ends)
+    end_orderly (p);
+  g_string_free (fields, TRUE);
+  g_free (length_field);
+  g_free (body);
+}
+
 /* Answers without end.  */
 
 struct block
@@ -200,10 +288,10 @@
 {
   if (generator != NULL)
     return g_rand_int_range (generator, 0, RANDOM_SHARE) == 0
-               ? (enum fault)g_rand_int_range (generator, 0, FAULT_COUNT)
+               ? (enum fault)g_rand_int_range (generator, 0, REWRITE)
                : FAULT_COUNT;
   for (int f = 0; f < FAULT_COUNT; f++)
-    if (p->matches && left[f] > 0 && f != SWALLOW && f != REFUSE)
+    if (p->matches && left[f] > 0 && f != SWALLOW && f != REFUSE && f != EARLY)
       {
         left[f]--;
         return (enum fault)f;
@@ -220,7 +308,7 @@
       && strstr (last_late->str, "Crocusbend-Attempt-Id") == NULL)
     return false;
   if (generator != NULL)
-    return g_rand_int_range (generator, 0, RANDOM_SHARE * FAULT_COUNT) == 0;
+    return g_rand_int_range (generator, 0, RANDOM_SHARE * REWRITE) == 0;
   if (!p->matches || left[fault] == 0)
     return false;
   left[fault]--;
@@ -267,8 +355,12 @@
     case ANONYMOUS:
       send_anonymous (p, text, length);
       break;
+    case REWRITE:
+      rewrite_answer (p, text, length);
+      break;
     case REFUSE:
     case SWALLOW:
+    case EARLY:
     case FAULT_COUNT:
       send_text (&p->node, text, length);
       break;
@@ -280,9 +372,32 @@
 
 /* Connections.  */
 
+/* Answer the call TEXT by its head, as a target does.  */
+static bool
+answer_early (struct pair *p, const char *text, size_t length)
+{
+  const char *end = g_strstr_len (text, (gssize)length, "\r\n\r\n");
+  if (!p->matches || left[EARLY] == 0 || end == NULL)
+    return false;
+  left[EARLY]--;
+  GString *head = g_string_new_len (text, end + 2 - text);
+  char *id = take_field (head, "Crocusbend-Attempt-Id:");
+  g_string_printf (head,
+                   "HTTP/1.1 200 OK\r\n%sCrocusbend-Server-Signature: 0\r\n"
+                   "Content-Length: 5\r\n\r\nearly",
+                   id);
+  p->discards = true;
+  answer (p, head->str, head->len);
+  g_string_free (head, TRUE);
+  g_free (id);
+  return true;
+}
+
 static void
 pass_on (struct pair *p, const char *text, size_t length)
 {
+  if (answer_early (p, text, length))
+    return;
   if (must_answer (p, SWALLOW))
     {
       spoiled++;
@@ -312,7 +427,7 @@
   struct pair *p = stream->data;
   if (length < 0)
     close_pair (p);
-  if (length <= 0 || p->endless)
+  if (length <= 0 || p->endless || p->discards)
     return;
   const char *line_end = memchr (buffer->base, '\r', (size_t)length);
   p->matches
@@ -328,7 +443,7 @@
 on_target_read (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
   struct pair *p = stream->data;
-  if (length < 0 && !p->endless)
+  if (length < 0 && !p->endless && !p->discards)
     close_pair (p);
   if (length > 0 && !p->endless)
     answer (p, buffer->base, (size_t)length);
@@ -360,7 +475,9 @@
     return;
   struct pair *p = g_new0 (struct pair, 1);
   p->early = g_string_new (NULL);
-  p->open_handles = 2;
+  p->open_handles = 3;
+  uv_timer_init (&loop, &p->reset_timer);
+  p->reset_timer.data = p;
   uv_tcp_init (&loop, &p->node);
   uv_tcp_init (&loop, &p->target);
   p->node.data = p;
@@ -419,6 +536,10 @@
   for (int f = 0; f < FAULT_COUNT; f++)
     if ((value = value_of (path, fault_names[f])) != NULL)
       left[f] = (unsigned)strtoul (value, NULL, 10);
+  if (value_of (path, "rewrite") != NULL)
+    g_string_assign (template, x->body->str);
+  if ((value = value_of (path, "delay")) != NULL)
+    reset_delay_ms = (unsigned)strtoul (value, NULL, 10);
   if ((value = value_of (path, "match")) != NULL)
     g_strlcpy (match, value, sizeof match);
   if ((value = value_of (path, "random")) != NULL)
@@ -443,6 +564,7 @@
   signal (SIGPIPE, SIG_IGN);
   uv_loop_init (&loop);
   last_late = g_string_new (NULL);
+  template = g_string_new (NULL);
   address.port = (uint16_t)strtoul (argv[1], NULL, 10);
   if (http_server_new (&loop, &address, &limits, on_command, NULL) == NULL)
     return EXIT_FAILURE;
