Requests of callers are read by the same definition of a message

A caller's request with a blank in or after the name of a field, with a folded line, with a field of its trailer that a head may bear, or with a chunk of "3 3" was accepted: what a proxy before the node reads as one message the node could read as another (request smuggling), and trailers became fields that were sent on to the target.

Cause: as for answers, the leniency of http_parser. The server now reads by http/reader.c and answers 400 to what is not well-formed, counted in requests_malformed_total and logged with its fault as REQUEST_MALFORMED. The bounds and their 431 stay. Any token is a method now, as for a proxy.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SAN ?=
 PKGS = ck libzmq yaml-0.1 libmicrohttpd libcurl glib-2.0 libxxhash jansson msgpack libuv zlib
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm -lhttp_parser
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lm
 CFLAGS_ALL = $(CSTD) $(OPT) $(SAN) -Wall -Wextra -Werror -D_GNU_SOURCE \
   -Isrc -Iplatform -pthread $(PKG_CFLAGS)
 LDLIBS_ALL = $(SAN) $(PKG_LIBS) -pthread
--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -5,15 +5,15 @@
 
 struct field
 {
-  size_t name;  /* offset in the text of the headers; zero-terminated */
-  size_t value; /* the same; 0: no value */
+  /* Offsets of strings in the text of the headers.  */
+  size_t name;
+  size_t value;
 };
 
 struct headers
 {
-  GString *text; /* names and values, each preceded by a zero byte */
+  GString *text;
   GArray *fields;
-  bool last_is_value; /* the last piece was part of a value */
 };
 
 struct headers *
@@ -22,7 +22,6 @@
   struct headers *h = g_new0 (struct headers, 1);
   h->text = g_string_new (NULL);
   h->fields = g_array_new (FALSE, FALSE, sizeof (struct field));
-  h->last_is_value = true;
   return h;
 }
 
@@ -41,7 +40,6 @@
 {
   g_string_truncate (h->text, 0);
   g_array_set_size (h->fields, 0);
-  h->last_is_value = true;
 }
 
 static struct field *
@@ -50,39 +48,23 @@
   return &g_array_index (h->fields, struct field, i);
 }
 
-void
-headers_append_name (struct headers *h, const char *text, size_t length)
+/* Append a string to the text of H and return its offset.  */
+static size_t
+append_string (struct headers *h, const char *text, size_t length)
 {
-  if (h->last_is_value)
-    {
-      g_string_append_c (h->text, '\0');
-      struct field f = { .name = h->text->len, .value = 0 };
-      g_array_append_val (h->fields, f);
-      h->last_is_value = false;
-    }
-  g_string_append_len (h->text, text, (gssize)length);
-}
-
-void
-headers_append_value (struct headers *h, const char *text, size_t length)
-{
-  if (h->fields->len == 0)
-    return;
-  if (!h->last_is_value)
-    {
-      g_string_append_c (h->text, '\0');
-      field_at (h, h->fields->len - 1)->value = h->text->len;
-      h->last_is_value = true;
-    }
+  size_t at = h->text->len;
   g_string_append_len (h->text, text, (gssize)length);
+  g_string_append_c (h->text, '\0');
+  return at;
 }
 
 void
 headers_append (struct headers *h, const char *name, size_t name_length,
                 const char *value, size_t value_length)
 {
-  headers_append_name (h, name, name_length);
-  headers_append_value (h, value, value_length);
+  struct field f = { .name = append_string (h, name, name_length),
+                     .value = append_string (h, value, value_length) };
+  g_array_append_val (h->fields, f);
 }
 
 static const char *
@@ -94,8 +76,7 @@
 static const char *
 value_of (const struct headers *h, guint i)
 {
-  size_t at = field_at (h, i)->value;
-  return at == 0 ? "" : h->text->str + at;
+  return h->text->str + field_at (h, i)->value;
 }
 
 const char *
@@ -107,12 +88,6 @@
   return NULL;
 }
 
-unsigned
-headers_field_count (const struct headers *h)
-{
-  return h->fields->len;
-}
-
 unsigned
 headers_count (const struct headers *h, const char *name)
 {
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -16,11 +16,6 @@
 /* Remove all fields.  */
 void headers_clear (struct headers *h);
 
-/* Append a piece of a field's name or value, as the parser delivers it.  A
-   name after a value begins the next field.  */
-void headers_append_name (struct headers *h, const char *text, size_t length);
-void headers_append_value (struct headers *h, const char *text, size_t length);
-
 /* Append a field; neither NAME nor VALUE has zero bytes.  */
 void headers_append (struct headers *h, const char *name, size_t name_length,
                      const char *value, size_t value_length);
@@ -28,9 +23,6 @@
 /* The value of the first field NAME (case-insensitive), or NULL.  */
 const char *headers_find (const struct headers *h, const char *name);
 
-/* The number of all fields.  */
-unsigned headers_field_count (const struct headers *h);
-
 /* The number of fields NAME (case-insensitive).  */
 unsigned headers_count (const struct headers *h, const char *name);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -7,8 +7,8 @@
 #include "http/bounds.h"
 #include "http/net.h"
 #include "http/poll_clock.h"
+#include "http/reader.h"
 #include "http/reason_phrase.h"
-#include <http_parser.h>
 #include <poll.h>
 #include <string.h>
 
@@ -57,12 +57,12 @@
 {
   uv_tcp_t tcp;
   uv_timer_t timer;
-  http_parser parser;
+  struct http_reader *reader;
   struct http_server *server;
   GList server_link;
   GQueue requests;          /* complete requests, in order of arrival */
   struct request *incoming; /* the request being read, or NULL */
-  GByteArray *unparsed;     /* read and not parsed while reading is paused */
+  GByteArray *unread;       /* received while reading is paused */
   int64_t input_ns;         /* when the bytes that were read last arrived */
   int64_t unwatched_ns;     /* nothing was read since then; 0: the loop polls
                                the connection */
@@ -80,14 +80,11 @@
 {
   struct http_server_exchange exchange;
   struct connection *connection;
+  char *method;
   GString *response;    /* NULL until the handler responds */
   size_t keep_alive_at; /* of its line that keeps the connection open; 0: it
                            has none */
-  /* Bytes of the request after those that were read with its first.  */
-  size_t received;
-  uint32_t chunk_count;
-  size_t reserved; /* in the server's memory */
-  bool complete;
+  size_t reserved;      /* in the server's memory */
   bool keep_alive;
   bool head_only;
   bool dispatched;
@@ -146,6 +143,7 @@
   const struct http_memory *m = r->connection->server->memory;
   if (m != NULL && r->reserved > 0)
     m->count (m->arg, -(int64_t)r->reserved);
+  g_free (r->method);
   g_string_free (r->exchange.request_target, TRUE);
   headers_free (r->exchange.headers);
   g_string_free (r->exchange.body, TRUE);
@@ -154,78 +152,54 @@
   g_free (r);
 }
 
-/* Parsing.  */
+/* Reading.  */
 
-static struct connection *
-parser_connection (http_parser *p)
-{
-  return p->data;
-}
-
-static int
+static bool
 reject (struct connection *c, int status)
 {
   c->error_status = status;
-  return -1;
-}
-
-static int
-on_begin (http_parser *p)
-{
-  struct connection *c = parser_connection (p);
-  c->incoming = request_new (c);
-  return 0;
-}
-
-static int
-on_url (http_parser *p, const char *at, size_t length)
-{
-  g_string_append_len (
-      parser_connection (p)->incoming->exchange.request_target, at,
-      (gssize)length);
-  return 0;
+  return false;
 }
 
-static int
-on_field (http_parser *p, const char *at, size_t length)
+static bool
+on_start (void *arg, const struct http_start_line *line)
 {
-  struct connection *c = parser_connection (p);
-  struct headers *h = c->incoming->exchange.headers;
-  headers_append_name (h, at, length);
-  return headers_field_count (h) > HTTP_FIELDS_MAX ? reject (c, 431) : 0;
+  struct connection *c = arg;
+  struct request *r = request_new (c);
+  c->incoming = r;
+  r->method = g_strndup (line->method, line->method_length);
+  r->exchange.method = r->method;
+  r->head_only = strcmp (r->method, "HEAD") == 0;
+  g_string_append_len (r->exchange.request_target, line->target,
+                       (gssize)line->target_length);
+  return strcmp (r->method, "CONNECT") != 0 || reject (c, 400);
 }
 
-static int
-on_value (http_parser *p, const char *at, size_t length)
+static bool
+on_field (void *arg, const char *name, size_t name_length, const char *value,
+          size_t value_length)
 {
-  headers_append_value (parser_connection (p)->incoming->exchange.headers, at,
-                        length);
-  return 0;
+  struct connection *c = arg;
+  headers_append (c->incoming->exchange.headers, name, name_length, value,
+                  value_length);
+  return true;
 }
 
-static int
-on_headers (http_parser *p)
+static bool
+on_head (void *arg)
 {
-  struct connection *c = parser_connection (p);
+  struct connection *c = arg;
   const struct headers *h = c->incoming->exchange.headers;
-  if (p->method == HTTP_CONNECT || p->upgrade)
-    return reject (c, 400);
-  if (p->http_major != 1 || headers_count (h, "Host") > 1
-      || headers_count (h, "Content-Length") > 1
-      || headers_count (h, "Transfer-Encoding") > 1)
-    return reject (c, 400);
-  if (headers_find (h, "Transfer-Encoding") != NULL
-      && (p->flags & F_CHUNKED) == 0)
+  uint64_t length;
+  bool has_length = http_reader_has_length (c->reader, &length);
+  if (http_reader_asks_upgrade (c->reader) || headers_count (h, "Host") > 1)
     return reject (c, 400);
-  if (p->content_length != ULLONG_MAX
-      && p->content_length > c->server->limits->body_bytes_max)
+  if (has_length && length > c->server->limits->body_bytes_max)
     return reject (c, 413);
-  if (p->content_length != ULLONG_MAX
-      && !reserve (c->incoming, p->content_length))
+  if (has_length && !reserve (c->incoming, length))
     {
       const struct http_memory *m = c->server->memory;
-      c->retry_after_ns
-          = m->retry_after_ns (m->arg, p->content_length * m->body_copies);
+      c->retry_after_ns = m->retry_after_ns (m->arg, length * m->body_copies);
       return reject (c, 503);
     }
   const char *expect = headers_find (h, "Expect");
@@ -233,64 +207,50 @@
       && g_queue_is_empty (&c->requests))
     net_send ((uv_stream_t *)&c->tcp,
               g_string_new ("HTTP/1.1 100 Continue\r\n\r\n"));
-  return 0;
+  return true;
 }
 
-static int
-on_body (http_parser *p, const char *at, size_t length)
+static bool
+on_body (void *arg, const char *data, size_t length)
 {
-  struct connection *c = parser_connection (p);
+  struct connection *c = arg;
   GString *body = c->incoming->exchange.body;
   if (body->len + length > c->server->limits->body_bytes_max)
     return reject (c, 413);
-  g_string_append_len (body, at, (gssize)length);
-  if ((p->flags & F_CHUNKED) != 0 && !reserve (c->incoming, length))
+  g_string_append_len (body, data, (gssize)length);
+  if (http_reader_is_chunked (c->reader) && !reserve (c->incoming, length))
     {
       const struct http_memory *m = c->server->memory;
       m->count (m->arg, (int64_t)(length * m->body_copies));
       c->incoming->reserved += length * m->body_copies;
       c->memory_full = true;
     }
-  return 0;
-}
-
-static int
-on_chunk (http_parser *p)
-{
-  parser_connection (p)->incoming->chunk_count++;
-  return 0;
+  return true;
 }
 
-static int
-on_complete (http_parser *p)
+static void
+on_complete (void *arg)
 {
-  struct connection *c = parser_connection (p);
+  struct connection *c = arg;
   struct request *r = c->incoming;
-  r->complete = true;
-  r->keep_alive = http_should_keep_alive (p) != 0;
-  r->head_only = p->method == HTTP_HEAD;
-  r->exchange.method = http_method_str ((enum http_method)p->method);
+  r->keep_alive = http_reader_keeps_alive (c->reader);
   r->exchange.arrived_ns = c->input_ns;
   g_queue_push_tail (&c->requests, r);
   c->incoming = NULL;
   if (!r->keep_alive)
     c->closing = true;
-  else if (g_queue_get_length (&c->requests) >= PIPELINE_MAX)
-    http_parser_pause (p, 1);
-  /* The handler is called after the parser has returned, because it may close
+  /* The handler is called after the reader has returned, because it may close
      the connection.  */
-  return 0;
-}
-
-static const http_parser_settings callbacks = {
-  .on_message_begin = on_begin,
-  .on_url = on_url,
-  .on_header_field = on_field,
-  .on_header_value = on_value,
-  .on_headers_complete = on_headers,
-  .on_body = on_body,
-  .on_message_complete = on_complete,
-  .on_chunk_header = on_chunk,
+  if (c->closing || g_queue_get_length (&c->requests) >= PIPELINE_MAX)
+    http_reader_pause (c->reader);
+}
+
+static const struct http_reader_ops reader_ops = {
+  .start = on_start,
+  .field = on_field,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
 };
 
 /* Responses.  */
@@ -405,7 +365,7 @@
 has_no_request (const struct connection *c)
 {
   return g_queue_is_empty ((GQueue *)&c->requests) && c->incoming == NULL
-         && c->unparsed->len == 0;
+         && c->unread->len == 0;
 }
 
 /* Send the available responses that are next in order.  */
@@ -457,7 +417,8 @@
   struct connection *c = handle->data;
   if (--c->open_handles > 0)
     return;
-  g_byte_array_free (c->unparsed, TRUE);
+  g_byte_array_free (c->unread, TRUE);
+  http_reader_free (c->reader);
   g_free (c);
 }
 
@@ -607,42 +568,37 @@
     }
 }
 
+/* The status of the response to a request that was not read.  */
 static int
-status_of_parse_error (const struct connection *c)
+status_of_fault (const struct connection *c, enum http_fault fault)
 {
   if (c->error_status != 0)
     return c->error_status;
-  enum http_errno error = HTTP_PARSER_ERRNO (&c->parser);
-  return error == HPE_HEADER_OVERFLOW ? 431 : 400;
-}
-
-static uint32_t
-head_bytes_max (const struct connection *c)
-{
-  return MIN (c->server->limits->header_bytes_max,
-              (uint32_t)HTTP_HEAD_BYTES_MAX);
+  return http_fault_is_bound (fault) ? 431 : 400;
 }
 
-/* Reject the request that is being read, and was before LENGTH bytes, if its
-   bytes other than the body exceed the bound of a head.  The parser bounds its
-   head and each chunk extension, but not their sum.  */
+/* End the reading of C at a request with FAULT.  */
 static void
-check_head (struct connection *c, size_t length)
+reject_request (struct connection *c, enum http_fault fault)
 {
-  struct request *r = c->incoming;
-  r->received += length;
-  if (r->received > head_bytes_max (c) + r->exchange.body->len
-                        + (size_t)r->chunk_count * HTTP_CHUNK_FRAME_BYTES)
-    reject (c, 431);
+  c->error_status = status_of_fault (c, fault);
+  c->closing = true;
+  if (c->incoming != NULL)
+    request_free (c->incoming);
+  c->incoming = NULL;
+  if (fault == HTTP_FAULT_REFUSED)
+    return;
+  counter_add (COUNTER_requests_malformed_total, 1);
+  log_event (EV_REQUEST_MALFORMED, "fault=%s", http_fault_word (fault));
 }
 
 static void on_paused_timer (uv_timer_t *timer);
 
-/* Pause reading; parse the LENGTH bytes of DATA when it is resumed.  */
+/* Pause reading; read the LENGTH bytes of DATA when it is resumed.  */
 static void
 pause_reading (struct connection *c, const char *data, size_t length)
 {
-  g_byte_array_append (c->unparsed, (const guint8 *)data, (guint)length);
+  g_byte_array_append (c->unread, (const guint8 *)data, (guint)length);
   c->reading_paused = true;
   if (c->unwatched_ns == 0)
     c->unwatched_ns = clock_now_ns ();
@@ -680,30 +636,20 @@
 }
 
 static void
-parse (struct connection *c, const char *data, size_t length)
-{
-  const struct request *before = c->incoming;
-  bool had_incoming = before != NULL;
-  http_parser_set_max_header_size (head_bytes_max (c));
-  size_t parsed = http_parser_execute (&c->parser, &callbacks, data, length);
-  if (HTTP_PARSER_ERRNO (&c->parser) == HPE_PAUSED)
-    {
-      http_parser_pause (&c->parser, 0);
-      pause_reading (c, data + parsed, length - parsed);
-      parsed = length;
-    }
-  if (had_incoming && c->incoming == before)
-    check_head (c, length);
-  if ((parsed != length || HTTP_PARSER_ERRNO (&c->parser) != HPE_OK
-       || c->error_status != 0)
-      && !c->closing)
-    {
-      c->error_status = status_of_parse_error (c);
-      c->closing = true;
-      if (c->incoming != NULL)
-        request_free (c->incoming);
-      c->incoming = NULL;
-    }
+read_requests (struct connection *c, const char *data, size_t length)
+{
+  bool had_incoming = c->incoming != NULL;
+  http_reader_set_head_max (c->reader,
+                            MIN (c->server->limits->header_bytes_max,
+                                 (uint32_t)HTTP_HEAD_BYTES_MAX));
+  size_t read = http_reader_feed (c->reader, data, length);
+  enum http_fault fault = http_reader_fault (c->reader);
+  if (fault != HTTP_FAULT_NONE)
+    reject_request (c, fault);
+  else if (!c->closing
+           && (read < length
+               || g_queue_get_length (&c->requests) >= PIPELINE_MAX))
+    pause_reading (c, data + read, length - read);
   if (c->incoming != NULL && !had_incoming)
     uv_timer_stop (&c->timer);
   dispatch_requests (c);
@@ -771,7 +717,7 @@
       drop_input (c, (size_t)length);
       return;
     }
-  parse (c, buffer->base, (size_t)length);
+  read_requests (c, buffer->base, (size_t)length);
   if (!c->closed && !c->reading_paused
       && (c->memory_full || net_pending_bytes (stream) > UNREAD_BYTES_MAX))
     pause_reading (c, NULL, 0);
@@ -788,18 +734,18 @@
     return;
   c->reading_paused = false;
   uv_read_start ((uv_stream_t *)&c->tcp, net_alloc_buffer, on_read);
-  if (c->unparsed->len == 0 || c->closing)
+  if (c->unread->len == 0 || c->closing)
     return;
   struct net_peer_info info;
   if (net_get_stream_peer_info ((const uv_stream_t *)&c->tcp, &info)
       && info.left && !c->server->serves_left)
     {
-      drop_input (c, c->unparsed->len);
+      drop_input (c, c->unread->len);
       return;
     }
-  GByteArray *data = c->unparsed;
-  c->unparsed = g_byte_array_new ();
-  parse (c, (const char *)data->data, data->len);
+  GByteArray *data = c->unread;
+  c->unread = g_byte_array_new ();
+  read_requests (c, (const char *)data->data, data->len);
   g_byte_array_free (data, TRUE);
 }
 
@@ -813,13 +759,12 @@
   c->server = s;
   c->server_link.data = c;
   c->open_handles = 2;
-  c->unparsed = g_byte_array_new ();
+  c->unread = g_byte_array_new ();
   uv_tcp_init (s->loop, &c->tcp);
   uv_timer_init (s->loop, &c->timer);
   c->tcp.data = c;
   c->timer.data = c;
-  http_parser_init (&c->parser, HTTP_REQUEST);
-  c->parser.data = c;
+  c->reader = http_reader_new (HTTP_READ_REQUESTS, &reader_ops, c);
   g_queue_push_tail_link (&s->connections, &c->server_link);
   if (uv_accept (listener, (uv_stream_t *)&c->tcp) != 0)
     {
--- a/test/unit/test_http.c
+++ b/test/unit/test_http.c
@@ -303,6 +303,12 @@
                     NULL, body, strlen (body));
       test->exchanges[number] = NULL;
     }
+  else if (strcmp (words[0], "field") == 0)
+    {
+      const char *value = headers_find (
+          test->exchanges[script_word_number (words[1])]->headers, words[2]);
+      fprintf (out, "%s\n", value == NULL ? "none" : value);
+    }
   else if (strcmp (words[0], "flood") == 0)
     flood (&test->loop, test->fd, words);
   else if (strcmp (words[0], "memory") == 0)
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -115,8 +115,7 @@
 {
   struct headers *h = headers_new ();
   memset (terms, 0, sizeof *terms);
-  headers_append_name (h, name, strlen (name));
-  headers_append_value (h, value, strlen (value));
+  headers_append (h, name, strlen (name), value, strlen (value));
   enum status s = platform_parse_terms (h, terms);
   headers_free (h);
   return s;
@@ -248,17 +247,15 @@
     {
       struct load_figures load = { 0 };
       struct headers *h = headers_new ();
-      headers_append_name (h, "Crocusbend-Server-Load", 22);
-      headers_append_value (h, loads[i].text, strlen (loads[i].text));
+      headers_append (h, "Crocusbend-Server-Load", 22, loads[i].text,
+                      strlen (loads[i].text));
       assert_int_equal (platform_parse_load (h, &load), loads[i].status);
       assert_int_equal (load.slots, loads[i].slots);
       assert_int_equal (load.has_pace, loads[i].pace > 0);
       struct target_health health;
       assert_int_equal (platform_parse_health (h, &health), STATUS_INVALID);
-      headers_append_name (h, "Crocusbend-Instance-Id", 22);
-      headers_append_value (h, "i-1", 3);
-      headers_append_name (h, "Crocusbend-Warmup-Ms", 20);
-      headers_append_value (h, "1200", 4);
+      headers_append (h, "Crocusbend-Instance-Id", 22, "i-1", 3);
+      headers_append (h, "Crocusbend-Warmup-Ms", 20, "1200", 4);
       assert_int_equal (platform_parse_health (h, &health), STATUS_OK);
       assert_int_equal (health.warmup_remaining_ms, 1200);
       headers_free (h);
