`crocusbend node` reads its target's answers by the definition of a message

Callers got as 200 what is no answer: a name with a blank, a tab, a control byte or bytes above 127, control bytes in values, two lengths, a length of 0x3, a chunk of "3 3", a blank in a trailer's name; and status 600 and 999.

Cause: libcurl is as lenient as http_parser was, each in its own way.

The lines of heads go from libcurl to http/reader.c as they were received, and so does what follows them, which libcurl no longer decodes. A fault fails the exchange as a closed connection does (unknown, target-closed), is counted in answers_malformed_total and logged as ANSWER_MALFORMED. libcurl stays for connections and sending. A connection with bytes after an answer is closed.

--- a/src/route/http_exchange.c
+++ b/src/route/http_exchange.c
@@ -1,6 +1,5 @@
 #include "route/http_exchange.h"
 #include "base/clock.h"
-#include "http/bounds.h"
 #include "http/net.h"
 
 #include <inttypes.h>
@@ -14,20 +13,63 @@
 {
   URL_BYTES = REQUEST_PATH_BYTES + 128,
   HEADER_BYTES = 256,
-  BODY_INITIAL_BYTES = 1024,
-  HEAD_LINES = 2 /* of a head that are no fields: the first and the last */
+  STATUS_FINAL_MIN = 200,
+  BODY_INITIAL_BYTES = 1024
 };
 
-static size_t
-on_body (char *data, size_t size, size_t count, void *arg)
+/* The response.  */
+
+static bool
+on_start (void *arg, const struct http_start_line *line)
+{
+  struct http_exchange *e = arg;
+  (void)line;
+  e->content_type[0] = '\0';
+  e->not_run = false;
+  return true;
+}
+
+static bool
+name_is (const char *name, size_t length, const char *expected)
+{
+  return length == strlen (expected)
+         && strncasecmp (name, expected, length) == 0;
+}
+
+static bool
+on_field (void *arg, const char *name, size_t name_length, const char *value,
+          size_t value_length)
+{
+  struct http_exchange *e = arg;
+  if (name_is (name, name_length, "Content-Type")
+      && value_length < sizeof e->content_type)
+    {
+      memcpy (e->content_type, value, value_length);
+      e->content_type[value_length] = '\0';
+    }
+  else if (name_is (name, name_length, "Crocusbend-Not-Run"))
+    e->not_run = name_is (value, value_length, "yes");
+  return true;
+}
+
+static bool
+on_head (void *arg)
+{
+  struct http_exchange *e = arg;
+  if (strcmp (e->request->method, "HEAD") == 0)
+    http_reader_skip_body (e->reader);
+  return true;
+}
+
+static bool
+on_body (void *arg, const char *data, size_t length)
 {
   struct http_exchange *e = arg;
-  size_t length = size * count;
   size_t limit = e->settings->body_bytes_max;
   if (length > limit - e->body_length)
     {
       e->answer_too_large = true;
-      return 0;
+      return false;
     }
   size_t room = e->body_capacity > 0 ? e->body_capacity : BODY_INITIAL_BYTES;
   while (room < e->body_length + length)
@@ -36,63 +78,64 @@
     {
       char *grown = realloc (e->body, room);
       if (grown == NULL)
-        return 0;
+        return false;
       e->body = grown;
       e->body_capacity = room;
     }
   memcpy (e->body + e->body_length, data, length);
   e->body_length += length;
-  return length;
+  return true;
 }
 
-/* Copy the value of header NAME in LINE of LENGTH bytes to VALUE.  False when
-   LINE is another header or the value does not fit.  */
-static bool
-read_header (const char *line, size_t length, const char *name, char *value,
-             size_t room)
+static void
+on_complete (void *arg)
 {
-  size_t name_length = strlen (name);
-  if (length <= name_length || strncasecmp (line, name, name_length) != 0
-      || line[name_length] != ':')
-    return false;
-  const char *start = line + name_length + 1;
-  const char *end = line + length;
-  while (start < end && (*start == ' ' || *start == '\t'))
-    start++;
-  while (end > start && (end[-1] == '\r' || end[-1] == '\n' || end[-1] == ' '))
-    end--;
-  if ((size_t)(end - start) >= room)
-    return false;
-  memcpy (value, start, (size_t)(end - start));
-  value[end - start] = '\0';
-  return true;
+  struct http_exchange *e = arg;
+  if (http_reader_status (e->reader) < STATUS_FINAL_MIN)
+    return;
+  e->complete = true;
+  http_reader_pause (e->reader);
 }
 
+static const struct http_reader_ops reader_ops = {
+  .start = on_start,
+  .field = on_field,
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+};
+
+/* Read LENGTH bytes of the response and return how many libcurl may take for
+   accepted.  */
 static size_t
-on_header (char *data, size_t size, size_t count, void *arg)
+read_response (struct http_exchange *e, const char *data, size_t length)
 {
-  struct http_exchange *e = arg;
-  size_t length = size * count;
-  char not_run_value[8];
-  /* Trailers and the heads of interim responses count as well.  */
-  e->head_length += length;
-  e->line_count++;
-  if (data[0] == '\r' || data[0] == '\n')
-    e->head_complete = true;
-  else if (length > 5 && strncmp (data, "HTTP/", 5) == 0)
-    e->head_complete = false; /* after an interim response */
-  if (e->head_length > HTTP_HEAD_BYTES_MAX
-      || e->line_count > HTTP_FIELDS_MAX + HEAD_LINES)
+  size_t read = e->complete ? 0 : http_reader_feed (e->reader, data, length);
+  if (e->complete && read < length)
     {
-      e->answer_too_large = true;
-      return 0;
+      /* Bytes after the complete response belong to no request.  */
+      curl_easy_setopt (e->easy, CURLOPT_FORBID_REUSE, 1L);
+      return length;
     }
-  read_header (data, length, "Content-Type", e->content_type,
-               sizeof e->content_type);
-  if (read_header (data, length, "Crocusbend-Not-Run", not_run_value,
-                   sizeof not_run_value))
-    e->not_run = strcasecmp (not_run_value, "yes") == 0;
-  return length;
+  if (http_fault_is_bound (http_reader_fault (e->reader)))
+    e->answer_too_large = true;
+  return http_reader_fault (e->reader) == HTTP_FAULT_NONE ? length : 0;
+}
+
+/* Called by libcurl for the lines of heads, as they were received.  */
+static size_t
+on_head_line (char *data, size_t size, size_t count, void *arg)
+{
+  struct http_exchange *e = arg;
+  e->head_length += size * count;
+  return read_response (e, data, size * count);
+}
+
+/* Called by libcurl for what follows the head, as it was received.  */
+static size_t
+on_rest (char *data, size_t size, size_t count, void *arg)
+{
+  return read_response (arg, data, size * count);
 }
 
 /* Called by libcurl directly before the first byte of a request is sent.  */
@@ -190,9 +233,11 @@
   curl_easy_setopt (e->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (e->easy, CURLOPT_TIMEOUT_MS, (long)left_ms);
   curl_easy_setopt (e->easy, CURLOPT_HTTPHEADER, e->headers);
-  curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, on_body);
+  /* The reader decodes the chunks, whose frames libcurl does not check.  */
+  curl_easy_setopt (e->easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+  curl_easy_setopt (e->easy, CURLOPT_WRITEFUNCTION, on_rest);
   curl_easy_setopt (e->easy, CURLOPT_WRITEDATA, e);
-  curl_easy_setopt (e->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (e->easy, CURLOPT_HEADERFUNCTION, on_head_line);
   curl_easy_setopt (e->easy, CURLOPT_HEADERDATA, e);
   curl_easy_setopt (e->easy, CURLOPT_PREREQFUNCTION, on_before_send);
   curl_easy_setopt (e->easy, CURLOPT_PREREQDATA, e);
@@ -209,15 +254,32 @@
   e->easy = curl_easy_init ();
   if (e->easy == NULL)
     return false;
+  e->reader = http_reader_new (HTTP_READ_RESPONSES, &reader_ops, e);
   add_headers (e, left_ms);
   set_options (e, left_ms);
   return true;
 }
 
 CURLcode
-http_exchange_result (const struct http_exchange *e, CURLcode code)
+http_exchange_result (struct http_exchange *e, CURLcode code)
+{
+  if (code != CURLE_OK || e->complete)
+    return code;
+  return http_reader_end (e->reader) && e->complete ? CURLE_OK
+                                                    : CURLE_PARTIAL_FILE;
+}
+
+const char *
+http_exchange_fault (const struct http_exchange *e, CURLcode code)
 {
-  return code == CURLE_OK && !e->head_complete ? CURLE_PARTIAL_FILE : code;
+  enum http_fault fault = http_reader_fault (e->reader);
+  if (fault != HTTP_FAULT_NONE && fault != HTTP_FAULT_END
+      && fault != HTTP_FAULT_REFUSED && !http_fault_is_bound (fault))
+    return http_fault_word (fault);
+  /* libcurl refused it before the reader saw it.  */
+  return code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL
+             ? http_fault_word (HTTP_FAULT_START_LINE)
+             : NULL;
 }
 
 void
@@ -241,6 +303,8 @@
 {
   curl_slist_free_all (e->headers);
   free (e->body);
+  http_reader_free (e->reader);
+  e->reader = NULL;
   e->headers = NULL;
   e->body = NULL;
 }
--- a/src/route/http_exchange.h
+++ b/src/route/http_exchange.h
@@ -8,6 +8,7 @@
 #ifndef ROUTE_HTTP_EXCHANGE_H
 #define ROUTE_HTTP_EXCHANGE_H
 
+#include "http/reader.h"
 #include "route/map.h"
 #include "route/request.h"
 #include "settings/settings.h"
@@ -27,12 +28,12 @@
   struct curl_slist *headers;
 
   /* The response.  */
+  struct http_reader *reader;
   char *body; /* owned until the caller takes it */
   size_t body_length;
   size_t body_capacity;
-  size_t head_length;
-  unsigned line_count; /* lines of the head and trailers */
-  bool head_complete;
+  size_t head_length; /* with those of interim responses */
+  bool complete;
   char content_type[REQUEST_CONTENT_TYPE_BYTES];
   unsigned send_count; /* how often a send was allowed to start */
   bool not_run;        /* the target reported that the request did not run */
@@ -48,8 +49,12 @@
 bool http_exchange_begin (struct http_exchange *e, int64_t left_ms);
 
 /* The result of the exchange, for which libcurl returned CODE: an error if the
-   response ended within its head, which libcurl takes for a complete one.  */
-CURLcode http_exchange_result (const struct http_exchange *e, CURLcode code);
+   response is not complete.  */
+CURLcode http_exchange_result (struct http_exchange *e, CURLcode code);
+
+/* What was wrong with the response of the exchange, whose result is CODE, in a
+   word; NULL if it was well-formed or missing.  */
+const char *http_exchange_fault (const struct http_exchange *e, CURLcode code);
 
 /* Let the connection of E be closed by a reset when its handle is removed from
    its multi handle: what was not delivered yet is not delivered.  */
@@ -58,7 +63,7 @@
 /* Free the handle; it must have been removed from its multi handle.  */
 void http_exchange_end (struct http_exchange *e);
 
-/* Free the body and headers of E.  */
+/* Free the response and the headers of E.  */
 void http_exchange_clear (struct http_exchange *e);
 
 #endif
--- a/src/route/target.c
+++ b/src/route/target.c
@@ -64,6 +64,7 @@
   struct send_list active;
   bool unreachable;
   int64_t unbounded_logged_ns; /* 0: never */
+  int64_t malformed_logged_ns; /* the same */
   pthread_t thread;
   uint32_t cancel_pending; /* set by target_check_cancels */
   uint32_t stopping;
@@ -262,22 +263,38 @@
   end_send (s, OUTCOME_NOT_RUN, reason);
 }
 
-/* Count the response of S, which exceeded its bounds, and log at most one a
-   second.  */
+/* Whether an event that was logged at *LOGGED_NS is logged again: at most once
+   a second.  */
+static bool
+may_log_again (int64_t *logged_ns)
+{
+  int64_t now_ns = clock_now_ns ();
+  if (*logged_ns != 0 && now_ns - *logged_ns < NS_PER_S)
+    return false;
+  *logged_ns = now_ns;
+  return true;
+}
+
+/* Count the response of S, which exceeded its bounds.  */
 static void
 record_unbounded (const struct send *s)
 {
-  struct target *t = s->target;
-  int64_t now_ns = clock_now_ns ();
   counter_add (COUNTER_answers_unbounded_total, 1);
-  if (t->unbounded_logged_ns != 0
-      && now_ns - t->unbounded_logged_ns < NS_PER_S)
-    return;
-  t->unbounded_logged_ns = now_ns;
-  log_event (EV_ANSWER_UNBOUNDED,
-             "request=%016" PRIx64 " head_bytes=%zu body_bytes=%zu",
-             s->attempt->request->id, s->http.head_length,
-             s->http.body_length);
+  if (may_log_again (&s->target->unbounded_logged_ns))
+    log_event (EV_ANSWER_UNBOUNDED,
+               "request=%016" PRIx64 " head_bytes=%zu body_bytes=%zu",
+               s->attempt->request->id, s->http.head_length,
+               s->http.body_length);
+}
+
+/* Count the response of S, which was not well-formed.  */
+static void
+record_malformed (const struct send *s, const char *fault)
+{
+  counter_add (COUNTER_answers_malformed_total, 1);
+  if (may_log_again (&s->target->malformed_logged_ns))
+    log_event (EV_ANSWER_MALFORMED, "request=%016" PRIx64 " fault=%s",
+               s->attempt->request->id, fault);
 }
 
 static void
@@ -290,6 +307,9 @@
       log_event (EV_RESEND_STOPPED, "request=%016" PRIx64,
                  s->attempt->request->id);
     }
+  const char *fault = http_exchange_fault (&s->http, code);
+  if (fault != NULL)
+    record_malformed (s, fault);
   if (s->http.answer_too_large)
     {
       record_unbounded (s);
