The store's clients read by the definition of a message, each call by its own handle

Other answers that are not well-formed were taken for a value: names with blanks, folded lines, two lengths, "77 77" as a chunk's size, HTTP/2.0.

Both clients now make each call with a new handle, with the connections kept by a multi handle, and their transfers read by http/reader.c. What it refuses fails the call as a lost answer does: a read may be tried again, a write is in doubt. It is counted in store_errors_total.

test_store_answers: a segmentation fault (platform's store) and "corrupted double-linked list" (etcd) at the first broken answer before; now 14 broken answers for each client fail, with sound ones on reused connections between.

--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -45,8 +45,8 @@
   uint32_t watch_idle_timeout_ms;
   uint64_t random_state; /* of next_random */
   bool down;             /* an outage was logged and has not ended */
-  CURL *curl;
-  CURLM *multi; /* runs the stream of a watch */
+  CURL *curl;            /* of the transfer that was prepared last, or NULL */
+  CURLM *multi;          /* keeps the connections */
   struct curl_slist *headers;
 };
 
@@ -116,18 +116,27 @@
   e->down = true;
 }
 
-/* Prepare the handle to POST BODY to PATH of the endpoint INDEX.  */
-static void
+/* Prepare a new handle to POST BODY to PATH of the endpoint INDEX.  False when
+   there is no memory.  */
+static bool
 prepare (struct etcd *e, uint32_t index, const char *path, const GString *body,
          struct transfer *t)
 {
   char url[URL_BYTES + 64];
-  CURL *c = e->curl;
+  curl_easy_cleanup (e->curl);
+  CURL *c = e->curl = curl_easy_init ();
+  if (c == NULL)
+    return false;
+  transfer_set_options (c);
+  curl_easy_setopt (c, CURLOPT_POST, 1L);
+  curl_easy_setopt (c, CURLOPT_HTTPHEADER, e->headers);
+  curl_easy_setopt (c, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_MAX_S);
   snprintf (url, sizeof url, "%s%s", e->endpoints[index].url, path);
   curl_easy_setopt (c, CURLOPT_URL, url);
   curl_easy_setopt (c, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body->len);
   curl_easy_setopt (c, CURLOPT_POSTFIELDS, body->str);
   transfer_begin (c, t);
+  return true;
 }
 
 /* The status for a response with HTTP status CODE other than 200.  After a
@@ -162,11 +171,12 @@
                const GString *body, struct transfer *t, int64_t limit_ms)
 {
   long code = 0;
-  prepare (e, index, path, body, t);
+  if (!prepare (e, index, path, body, t))
+    return status_set (STATUS_NO_MEMORY, "no memory for a call");
   curl_easy_setopt (e->curl, CURLOPT_TIMEOUT_MS, (long)limit_ms);
   curl_easy_setopt (e->curl, CURLOPT_CONNECTTIMEOUT_MS,
                     (long)(e->count > 1 ? limit_ms / 2 : limit_ms));
-  CURLcode result = curl_easy_perform (e->curl);
+  CURLcode result = transfer_perform (e->multi, e->curl, t);
   curl_easy_getinfo (e->curl, CURLINFO_RESPONSE_CODE, &code);
   enum status status = STATUS_OK;
   if (result != CURLE_OK)
@@ -237,7 +247,9 @@
 call (struct etcd *e, enum transfer_kind kind, const char *path, GString *body,
       json_t **response)
 {
-  struct transfer t = { kind, 0, g_string_new (NULL), REPLY_BYTES_MAX, 0 };
+  struct transfer t = { .kind = kind,
+                        .response = g_string_new (NULL),
+                        .response_max_bytes = REPLY_BYTES_MAX };
   int64_t start_ns = clock_now_ns ();
   int64_t end_ns = start_ns + e->timeout_ms * NS_PER_MS;
   enum status status = wait_for_endpoint (e, start_ns);
@@ -252,6 +264,7 @@
                          "%s: the response is not JSON", path);
   if (is_failure (status))
     report_outage (e, status);
+  transfer_end (&t);
   g_string_free (t.response, TRUE);
   g_string_free (body, TRUE);
   return status;
@@ -585,7 +598,9 @@
   struct etcd *e = (struct etcd *)st;
   GString *body = g_string_new ("{\"create_request\":{");
   struct watch w
-      = { { TRANSFER_WATCH, 0, g_string_new (NULL), WATCH_LINE_BYTES_MAX, 0 },
+      = { .transfer = { .kind = TRANSFER_WATCH,
+                        .response = g_string_new (NULL),
+                        .response_max_bytes = WATCH_LINE_BYTES_MAX },
           .fn = fn,
           .arg = arg };
   append_prefix_range (body, prefix);
@@ -595,9 +610,11 @@
                           from + 1);
   enum status status = wait_for_endpoint (e, clock_now_ns ());
   uint32_t index = choose_endpoint (e, clock_now_ns ());
+  if (status == STATUS_OK
+      && !prepare (e, index, "/v3/watch", body, &w.transfer))
+    status = status_set (STATUS_NO_MEMORY, "no memory for a watch");
   if (status == STATUS_OK)
     {
-      prepare (e, index, "/v3/watch", body, &w.transfer);
       curl_easy_setopt (e->curl, CURLOPT_TIMEOUT_MS, 0L);
       curl_easy_setopt (e->curl, CURLOPT_CONNECTTIMEOUT_MS,
                         (long)e->timeout_ms);
@@ -612,6 +629,7 @@
     }
   if (status == STATUS_UNAVAILABLE)
     report_outage (e, status);
+  transfer_end (&w.transfer);
   g_string_free (w.transfer.response, TRUE);
   g_string_free (body, TRUE);
   return status;
@@ -631,16 +649,6 @@
     = { etcd_get,         etcd_list,  etcd_swap, etcd_lease_grant,
         etcd_lease_renew, etcd_watch, etcd_free };
 
-static void
-set_options (struct etcd *e)
-{
-  CURL *c = e->curl;
-  transfer_set_options (c);
-  curl_easy_setopt (c, CURLOPT_POST, 1L);
-  curl_easy_setopt (c, CURLOPT_HTTPHEADER, e->headers);
-  curl_easy_setopt (c, CURLOPT_MAXAGE_CONN, (long)CONNECTION_IDLE_MAX_S);
-}
-
 struct store *
 etcd_new (const struct settings_address *endpoints, uint32_t count,
           uint32_t timeout_ms)
@@ -660,14 +668,12 @@
               endpoints[i].host, (unsigned)endpoints[i].port);
   e->headers = curl_slist_append (NULL, "Content-Type: application/json");
   e->headers = curl_slist_append (e->headers, "Expect:");
-  e->curl = curl_easy_init ();
   e->multi = curl_multi_init ();
-  if (e->curl == NULL || e->multi == NULL || e->headers == NULL)
+  if (e->multi == NULL || e->headers == NULL)
     {
       etcd_free (&e->store);
       return NULL;
     }
-  set_options (e);
   return &e->store;
 }
 
--- a/src/store/transfer.h
+++ b/src/store/transfer.h
@@ -5,6 +5,7 @@
 #define STORE_TRANSFER_H
 
 #include "base/status.h"
+#include "http/reader.h"
 #include <curl/curl.h>
 #include <glib.h>
 #include <stddef.h>
@@ -23,16 +24,26 @@
   uint32_t sends; /* times that sending the request was started; each is
                      counted in the process counter of KIND */
   GString *response;
-  size_t response_max_bytes; /* a longer response fails the transfer */
-  size_t head_length;        /* a head beyond http/bounds.h fails it as well */
+  size_t response_max_bytes;  /* a longer response fails the transfer */
+  struct http_reader *reader; /* of the response, until transfer_end */
+  bool complete;              /* the response was read completely */
 };
 
 /* Set the options that are common to all transfers of HANDLE.  */
 void transfer_set_options (CURL *handle);
 
-/* Make T the next transfer of HANDLE, with an empty response.  */
+/* Make T the next transfer of HANDLE, with an empty response.  HANDLE must not
+   have been used before: libcurl 7.88 keeps a pointer into the head of its
+   last response.  */
 void transfer_begin (CURL *handle, struct transfer *t);
 
+/* Make the transfer of HANDLE, with the connections of MULTI.  A response that
+   is not well-formed (http/reader.h) or not complete fails it.  */
+CURLcode transfer_perform (CURLM *multi, CURL *handle, struct transfer *t);
+
+/* Free what T holds but its response.  */
+void transfer_end (struct transfer *t);
+
 /* The status of T, which failed with CODE and has no complete response from
    URL.  It depends on whether the request was sent.  */
 enum status transfer_error_status (const struct transfer *t, const char *url,
