`crocusbend node` refuses callers' requests that are not well-formed

libmicrohttpd gave the node requests with blanks and control bytes in names, two lengths, a length beside chunks, a method with a parenthesis; after "Content-Length : 2" it read the body as the next request.

--- a/src/route/callers.c
+++ b/src/route/callers.c
@@ -4,6 +4,7 @@
 #include "base/duration.h"
 #include "base/log.h"
 #include "http/net.h"
+#include "route/request_check.h"
 #include "route/request_line.h"
 #include "route/router.h"
 #include "settings/address.h"
@@ -69,6 +70,7 @@
   size_t body_length;
   size_t body_capacity;
   bool headers_seen;
+  bool malformed; /* what follows it is not read as a request */
   bool too_large;
   bool no_memory;
   uint32_t done; /* set by the router's thread */
@@ -175,7 +177,7 @@
 {
   if (response == NULL)
     return MHD_NO;
-  if (ck_pr_load_32 (&x->callers->draining) != 0)
+  if (x->malformed || ck_pr_load_32 (&x->callers->draining) != 0)
     MHD_add_response_header (response, "Connection", "close");
   enum MHD_Result result
       = MHD_queue_response (x->connection, status, response);
@@ -392,6 +394,14 @@
          && strtoull (length, NULL, 10) > x->callers->settings->body_bytes_max;
 }
 
+static enum MHD_Result
+refuse_malformed (struct exchange *x)
+{
+  x->malformed = true;
+  return answer_refusal (x, OUTCOME_NOT_RUN, REASON_BAD_REQUEST,
+                         "the request is not well-formed");
+}
+
 static enum MHD_Result
 on_request (void *arg, struct MHD_Connection *connection, const char *url,
             const char *method, const char *version, const char *data,
@@ -399,7 +409,6 @@
 {
   struct exchange *x = *state;
   (void)arg;
-  (void)connection;
   (void)url;
   (void)version;
   if (x == NULL || x->uri == NULL)
@@ -410,6 +419,8 @@
     {
       x->headers_seen = true;
       count_exchange (x);
+      if (!request_check_head (connection, method))
+        return refuse_malformed (x);
       if (ck_pr_load_32 (&x->callers->draining) != 0)
         return answer_refusal (x, OUTCOME_NOT_RUN, REASON_DRAINING,
                                reason_text (REASON_DRAINING));
@@ -426,6 +437,8 @@
       *length = 0;
       return result;
     }
+  if (!request_check_trailer (connection))
+    return refuse_malformed (x);
   if (!x->too_large)
     return route (x, method);
   counter_add (COUNTER_bodies_refused_total, 1);
@@ -454,7 +467,8 @@
       MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_MAX_BYTES,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG, MHD_OPTION_END);
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   if (c->daemon == NULL)
     return status_set (STATUS_SYSTEM, "listen.callers %s:%u: %s", listen->host,
                        listen->port, strerror (errno));
--- a/src/route/operator.c
+++ b/src/route/operator.c
@@ -7,6 +7,7 @@
 #include "route/callstats.h"
 #include "route/ownd.h"
 #include "route/peers_docs.h"
+#include "route/request_check.h"
 #include "settings/address.h"
 
 #include <ck_pr.h>
@@ -149,6 +150,9 @@
 {
   struct operator_service *o = arg;
   (void)version;
+  if (*state == NULL && !request_check_head (connection, method))
+    return respond (connection, MHD_HTTP_BAD_REQUEST,
+                    strdup ("the request is not well-formed\n"), "text/plain");
   if (strcmp (method, "GET") == 0)
     return answer_get (o, connection, url);
   if (strcmp (method, "POST") != 0 || strcmp (url, "/ask") != 0)
@@ -235,7 +239,8 @@
       flags, listen->port, NULL, NULL, on_request, o, MHD_OPTION_SOCK_ADDR,
       (struct sockaddr *)&address, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
       o, MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
   if (o->daemon == NULL)
     return status_set (STATUS_SYSTEM, "listen.operator %s:%u: %s",
                        listen->host, listen->port, strerror (errno));
