--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -351,11 +351,11 @@
 static bool
 has_body (const struct http_reader *r)
 {
-  return !r->skips_body
-         && (r->kind == HTTP_READ_REQUESTS
-             || (r->status >= STATUS_FINAL_MIN
-                 && r->status != STATUS_NO_CONTENT
-                 && r->status != STATUS_NOT_MODIFIED));
+  const struct framing *f = &r->framing;
+  if (r->kind == HTTP_READ_REQUESTS)
+    return f->coding_count > 0 || f->length_count > 0;
+  return !r->skips_body && r->status >= STATUS_FINAL_MIN
+         && r->status != STATUS_NO_CONTENT && r->status != STATUS_NOT_MODIFIED;
 }
 
 static void
@@ -373,12 +373,8 @@
     complete (r);
   else if (f->coding_count > 0)
     r->state = AT_CHUNK;
-  else if (f->length_count > 0)
-    r->state = IN_BODY;
-  else if (r->kind == HTTP_READ_RESPONSES)
-    r->state = IN_BODY_TO_END;
   else
-    complete (r);
+    r->state = f->length_count > 0 ? IN_BODY : IN_BODY_TO_END;
 }
 
 /* Skip a quoted string at AT, before END; NULL if it has no end.  */
--- a/src/route/request_check.c
+++ b/src/route/request_check.c
@@ -31,7 +31,8 @@
   (void)kind;
   if (!http_is_token (name, name_size))
     fail (c, HTTP_FAULT_FIELD_NAME);
-  else if (!http_is_field_value (value, value_size))
+  else if (!http_is_field_value (value, value_size)
+           || (strcasecmp (name, "Host") == 0 && c->host_count++ > 0))
     fail (c, HTTP_FAULT_FIELD_VALUE);
   else if (strcasecmp (name, "Content-Length") == 0
            && (c->length_count++ > 0
@@ -40,8 +41,6 @@
   else if (strcasecmp (name, "Transfer-Encoding") == 0
            && (c->coding_count++ > 0 || strcasecmp (value, "chunked") != 0))
     fail (c, HTTP_FAULT_CODING);
-  else if (strcasecmp (name, "Host") == 0 && c->host_count++ > 0)
-    fail (c, HTTP_FAULT_FIELD_VALUE);
   return MHD_YES;
 }
 
