--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -617,6 +617,12 @@
   r->skips_body = true;
 }
 
+bool
+http_reader_is_within (const struct http_reader *r)
+{
+  return r->state != AT_START || (r->line->len > 0 && *r->line->str != '\r');
+}
+
 enum http_fault
 http_reader_fault (const struct http_reader *r)
 {
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -97,6 +97,9 @@
 /* Called from HEAD: the response has no body, whatever its fields say.  */
 void http_reader_skip_body (struct http_reader *r);
 
+/* Whether a part of a message was read, and not its end.  */
+bool http_reader_is_within (const struct http_reader *r);
+
 enum http_fault http_reader_fault (const struct http_reader *r);
 
 /* Of the message being read, once its head was read.  */
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -165,8 +165,9 @@
 on_start (void *arg, const struct http_start_line *line)
 {
   struct connection *c = arg;
-  struct request *r = request_new (c);
-  c->incoming = r;
+  if (c->incoming == NULL)
+    c->incoming = request_new (c);
+  struct request *r = c->incoming;
   r->method = g_strndup (line->method, line->method_length);
   r->exchange.method = r->method;
   r->head_only = strcmp (r->method, "HEAD") == 0;
@@ -646,9 +647,10 @@
   enum http_fault fault = http_reader_fault (c->reader);
   if (fault != HTTP_FAULT_NONE)
     reject_request (c, fault);
-  else if (!c->closing
-           && (read < length
-               || g_queue_get_length (&c->requests) >= PIPELINE_MAX))
+  else if (c->incoming == NULL && http_reader_is_within (c->reader))
+    c->incoming = request_new (c);
+  if (fault == HTTP_FAULT_NONE && !c->closing
+      && (read < length || g_queue_get_length (&c->requests) >= PIPELINE_MAX))
     pause_reading (c, data + read, length - read);
   if (c->incoming != NULL && !had_incoming)
     uv_timer_stop (&c->timer);
