The reader tells whether a response is an interim one

Three of its users compared the status with 200, two by a constant of their own, as the reader itself did. They ask it now. Behaviour is unchanged: test_reader, test_http, test_route, test_store and test_store_answers pass, as do broken_answers, folded_first_line, broken_answers_node and broken_requests.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -198,7 +198,7 @@
   struct connection *c = arg;
   struct http_call *call = c->call;
   c->skip_message
-      = http_reader_status (c->reader) < 200
+      = http_reader_is_interim (c->reader)
         || (call->options.matches != NULL
             && !call->options.matches (call->options.arg, c->headers));
   if (call->options.head_only && !c->skip_message)
--- a/src/http/reader.c
+++ b/src/http/reader.c
@@ -348,13 +348,19 @@
   r->ops->complete (r->arg);
 }
 
+bool
+http_reader_is_interim (const struct http_reader *r)
+{
+  return r->kind == HTTP_READ_RESPONSES && r->status < STATUS_FINAL_MIN;
+}
+
 static bool
 has_body (const struct http_reader *r)
 {
   const struct framing *f = &r->framing;
   if (r->kind == HTTP_READ_REQUESTS)
     return f->coding_count > 0 || f->length_count > 0;
-  return !r->skips_body && r->status >= STATUS_FINAL_MIN
+  return !r->skips_body && !http_reader_is_interim (r)
          && r->status != STATUS_NO_CONTENT && r->status != STATUS_NOT_MODIFIED;
 }
 
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -104,6 +104,8 @@
 
 /* Of the message being read, once its head was read.  */
 int http_reader_status (const struct http_reader *r);
+/* Whether it is a response that precedes the one to its request.  */
+bool http_reader_is_interim (const struct http_reader *r);
 bool http_reader_has_length (const struct http_reader *r, uint64_t *length);
 bool http_reader_is_chunked (const struct http_reader *r);
 /* Whether the peer keeps the connection open after the message, and whether it
--- a/src/route/http_exchange.c
+++ b/src/route/http_exchange.c
@@ -13,7 +13,6 @@
 {
   URL_BYTES = REQUEST_PATH_BYTES + 128,
   HEADER_BYTES = 256,
-  STATUS_FINAL_MIN = 200,
   BODY_INITIAL_BYTES = 1024
 };
 
@@ -91,7 +90,7 @@
 on_complete (void *arg)
 {
   struct http_exchange *e = arg;
-  if (http_reader_status (e->reader) < STATUS_FINAL_MIN)
+  if (http_reader_is_interim (e->reader))
     return;
   e->complete = true;
   http_reader_pause (e->reader);
--- a/src/store/transfer.c
+++ b/src/store/transfer.c
@@ -4,7 +4,6 @@
 
 enum
 {
-  STATUS_FINAL_MIN = 200,
   POLL_MAX_MS = 1000
 };
 
@@ -50,7 +49,7 @@
 on_complete (void *arg)
 {
   struct transfer *t = arg;
-  t->complete = http_reader_status (t->reader) >= STATUS_FINAL_MIN;
+  t->complete = !http_reader_is_interim (t->reader);
   if (t->complete)
     http_reader_pause (t->reader);
 }
