--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -24,6 +24,7 @@
                      after each other
      evacuate=ZONE   the operator evacuates a zone
      note            the body is a line of the record
+     cold=N,MS       target N becomes cold, for MS
      gone=N          machine N is removed, with its target
      come=N          machine N is added
    A request whose path contains "poison" ends the target that begins it, which
@@ -121,6 +122,7 @@
   unsigned life;               /* counts from 1 */
   unsigned sequence;
   int64_t born_ms;
+  int64_t cold_until_ns;
   unsigned running;
   uv_timer_t heartbeat_timer;
   uv_timer_t back_timer;
@@ -657,6 +659,7 @@
 static void send_request (unsigned node, const char *id, const char *path,
                           int key, bool repeatable);
 static void set_machine (const char *number, bool is_there);
+static void make_cold (const char *text);
 
 static void
 take_backup (void)
@@ -806,6 +809,8 @@
     evacuate (value);
   else if ((value = command_value (command, "send=")) != NULL)
     send_one (value);
+  else if ((value = command_value (command, "cold=")) != NULL)
+    make_cold (value);
   else if ((value = command_value (command, "gone=")) != NULL)
     set_machine (value, false);
   else if ((value = command_value (command, "come=")) != NULL)
@@ -857,6 +862,14 @@
   (void)response;
 }
 
+/* How much longer T is cold.  */
+static int
+cold_left_ms (const struct target *t)
+{
+  int64_t left_ns = t->cold_until_ns - clock_now_ns ();
+  return left_ns > 0 ? (int)((left_ns + NS_PER_MS - 1) / NS_PER_MS) : 0;
+}
+
 static void
 send_heartbeat (struct target *t)
 {
@@ -871,8 +884,8 @@
   json_t *json = json_pack (
       "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service_name", t->service,
       "address", address, "zone", "hall", "version", "v1", "capacity_slots",
-      (int)SLOTS, "state", "ready", "warmup_left_ms", 0, "sequence",
-      (int)++t->sequence, "born", (json_int_t)t->born_ms);
+      (int)SLOTS, "state", "ready", "warmup_left_ms", cold_left_ms (t),
+      "sequence", (int)++t->sequence, "born", (json_int_t)t->born_ms);
   char *body = json_dumps (json, JSON_COMPACT);
   GString *out = g_string_new (NULL);
   g_string_printf (out,
@@ -926,6 +939,17 @@
   uv_timer_start (&t->back_timer, on_back_timer, BACK_AFTER_MS, 0);
 }
 
+static void
+make_cold (const char *text)
+{
+  char **parts = g_strsplit (text, ",", 2);
+  struct target *t = g_ptr_array_index (targets, strtoul (parts[0], NULL, 10));
+  t->cold_until_ns
+      = clock_now_ns () + strtoll (parts[1], NULL, 10) * NS_PER_MS;
+  note ("target %u becomes cold for %s ms", t->index, parts[1]);
+  g_strfreev (parts);
+}
+
 /* Machine T is removed, or added.  */
 static void
 set_machine (const char *number, bool is_there)
@@ -1204,8 +1228,8 @@
     {
       char head[160];
       snprintf (head, sizeof head,
-                "Crocusbend-Instance-Id: %s\r\nCrocusbend-Warmup-Ms: 0\r\n",
-                own_id);
+                "Crocusbend-Instance-Id: %s\r\nCrocusbend-Warmup-Ms: %d\r\n",
+                own_id, cold_left_ms (t));
       http_respond (x, 200, head, "", 0);
     }
   else if (id == NULL)
