--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -24,6 +24,9 @@
                      after each other
      evacuate=ZONE   the operator evacuates a zone
      note            the body is a line of the record
+     hold=N          target N's next check-in is on its way from now on
+     late=N          it arrives
+     leave=N         target N deregisters, and goes on serving
      cold=N,MS       target N becomes cold, for MS
      gone=N          machine N is removed, with its target
      come=N          machine N is added
@@ -123,6 +126,8 @@
   unsigned sequence;
   int64_t born_ms;
   int64_t cold_until_ns;
+  bool has_left;
+  GString *held; /* a check-in on its way, or NULL */
   unsigned running;
   uv_timer_t heartbeat_timer;
   uv_timer_t back_timer;
@@ -660,6 +665,15 @@
                           int key, bool repeatable);
 static void set_machine (const char *number, bool is_there);
 static void make_cold (const char *text);
+static void leave (struct target *t);
+static void deliver_held (struct target *t);
+static GString *format_heartbeat (struct target *t);
+
+static struct target *
+target_at (const char *number)
+{
+  return g_ptr_array_index (targets, strtoul (number, NULL, 10));
+}
 
 static void
 take_backup (void)
@@ -809,6 +823,15 @@
     evacuate (value);
   else if ((value = command_value (command, "send=")) != NULL)
     send_one (value);
+  else if ((value = command_value (command, "hold=")) != NULL)
+    {
+      struct target *t = target_at (value);
+      t->held = format_heartbeat (t);
+    }
+  else if ((value = command_value (command, "late=")) != NULL)
+    deliver_held (target_at (value));
+  else if ((value = command_value (command, "leave=")) != NULL)
+    leave (target_at (value));
   else if ((value = command_value (command, "cold=")) != NULL)
     make_cold (value);
   else if ((value = command_value (command, "gone=")) != NULL)
@@ -870,16 +893,25 @@
   return left_ns > 0 ? (int)((left_ns + NS_PER_MS - 1) / NS_PER_MS) : 0;
 }
 
-static void
-send_heartbeat (struct target *t)
+/* A call of T of the given kind, with BODY.  */
+static GString *
+format_call (const struct target *t, const char *kind, const char *body)
 {
   char id[64];
-  char address[ADDRESS_TEXT_BYTES];
-  struct http_call_options options
-      = { .done = ignore_answer, .timeout_ms = 1000 };
-  if (t->server == NULL)
-    return;
+  GString *out = g_string_new (NULL);
   target_id (t, id);
+  g_string_printf (out,
+                   "POST /-/instances/%s/%s HTTP/1.1\r\nHost: node\r\n"
+                   "Content-Type: application/json\r\nContent-Length: "
+                   "%zu\r\n\r\n%s",
+                   id, kind, strlen (body), body);
+  return out;
+}
+
+static GString *
+format_heartbeat (struct target *t)
+{
+  char address[ADDRESS_TEXT_BYTES];
   settings_address_format (&t->address, address);
   json_t *json = json_pack (
       "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service_name", t->service,
@@ -887,15 +919,51 @@
       (int)SLOTS, "state", "ready", "warmup_left_ms", cold_left_ms (t),
       "sequence", (int)++t->sequence, "born", (json_int_t)t->born_ms);
   char *body = json_dumps (json, JSON_COMPACT);
-  GString *out = g_string_new (NULL);
-  g_string_printf (out,
-                   "POST /-/instances/%s/heartbeat HTTP/1.1\r\nHost: node\r\n"
-                   "Content-Type: application/json\r\nContent-Length: "
-                   "%zu\r\n\r\n%s",
-                   id, strlen (body), body);
-  http_call (t->control, out, &options);
+  GString *out = format_call (t, "heartbeat", body);
   free (body);
   json_decref (json);
+  return out;
+}
+
+static void
+send_heartbeat (struct target *t)
+{
+  struct http_call_options options
+      = { .done = ignore_answer, .timeout_ms = 1000 };
+  if (t->server != NULL && !t->has_left)
+    http_call (t->control, format_heartbeat (t), &options);
+}
+
+static void
+on_leave_answered (void *arg, const struct http_response *response)
+{
+  const struct target *t = arg;
+  if (response->result == HTTP_COMPLETED && response->status == 200)
+    note ("ack of leaving target=%u", t->index);
+}
+
+static void
+leave (struct target *t)
+{
+  struct http_call_options options
+      = { .done = on_leave_answered, .arg = t, .timeout_ms = 1000 };
+  char *body = g_strdup_printf ("{\"born\":%lld}", (long long)t->born_ms);
+  t->has_left = true;
+  note ("target %u leaves", t->index);
+  http_call (t->control, format_call (t, "deregister", body), &options);
+  g_free (body);
+}
+
+static void
+deliver_held (struct target *t)
+{
+  struct http_call_options options
+      = { .done = ignore_answer, .timeout_ms = 1000 };
+  if (t->held == NULL)
+    return;
+  note ("late check-in of target=%u", t->index);
+  http_call (t->control, t->held, &options);
+  t->held = NULL;
 }
 
 static void
