--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -18,6 +18,7 @@
      restore         it is back from the backup, of the next era; what the
                      operator wrote since is written again
      return          it is back with all that it had
+     work=MS         how long requests take at targets
      traffic=N       the callers of each node send N requests a second
      send=N,ID,PATH  a caller of node N sends this request; N is "all" for one
                      caller of each node of the first target's service, 4 ms
@@ -32,7 +33,7 @@
      come=N          machine N is added
    A request whose path contains "poison" ends the target that begins it, which
    is back after two seconds as a new process.  Requests on other paths take 50
-   ms.  */
+   ms, or what the command work=MS sets.  */
 
 #include <glib.h>
 #include <jansson.h>
@@ -185,6 +186,7 @@
 static GPtrArray *watches;
 static GPtrArray *targets;
 static unsigned per_s;
+static unsigned work_ms = WORK_MS;
 static bool any_keyed;
 static bool all_keyed = true;
 static unsigned request_count;
@@ -817,6 +819,8 @@
     begin_era ();
   else if (strcmp (command, "restore") == 0)
     restore_backup ();
+  else if ((value = command_value (command, "work=")) != NULL)
+    work_ms = (unsigned)strtoul (value, NULL, 10);
   else if ((value = command_value (command, "traffic=")) != NULL)
     per_s = (unsigned)strtoul (value, NULL, 10);
   else if ((value = command_value (command, "evacuate=")) != NULL)
@@ -1259,7 +1263,7 @@
   t->works = g_list_append (t->works, w);
   uv_timer_init (&loop, &w->timer);
   w->timer.data = w;
-  uv_timer_start (&w->timer, on_work_timer, WORK_MS, 0);
+  uv_timer_start (&w->timer, on_work_timer, work_ms, 0);
   if (strstr (x->request_target->str, "poison") != NULL)
     end_target (t, id);
 }
