--- a/review/standin-3/world.c
+++ b/review/standin-3/world.c
@@ -18,6 +18,7 @@
      restore         it is back from the backup, of the next era; what the
                      operator wrote since is written again
      return          it is back with all that it had
+     beat=MS         how often targets check in
      work=MS         how long requests take at targets
      traffic=N       the callers of each node send N requests a second
      send=N,ID,PATH  a caller of node N sends this request; N is "all" for one
@@ -667,6 +668,7 @@
                           int key, bool repeatable);
 static void set_machine (const char *number, bool is_there);
 static void make_cold (const char *text);
+static void set_beat (uint64_t interval_ms);
 static void leave (struct target *t);
 static void deliver_held (struct target *t);
 static GString *format_heartbeat (struct target *t);
@@ -819,6 +821,8 @@
     begin_era ();
   else if (strcmp (command, "restore") == 0)
     restore_backup ();
+  else if ((value = command_value (command, "beat=")) != NULL)
+    set_beat (strtoul (value, NULL, 10));
   else if ((value = command_value (command, "work=")) != NULL)
     work_ms = (unsigned)strtoul (value, NULL, 10);
   else if ((value = command_value (command, "traffic=")) != NULL)
@@ -1022,6 +1026,17 @@
   g_strfreev (parts);
 }
 
+static void
+set_beat (uint64_t interval_ms)
+{
+  for (guint i = 0; i < targets->len; i++)
+    {
+      struct target *t = g_ptr_array_index (targets, i);
+      uv_timer_start (&t->heartbeat_timer, on_heartbeat_timer, 100 * i,
+                      interval_ms);
+    }
+}
+
 /* Machine T is removed, or added.  */
 static void
 set_machine (const char *number, bool is_there)
