--- a/review/standin-3/lib.sh
+++ b/review/standin-3/lib.sh
@@ -1,13 +1,18 @@
 # Functions of the cases: a small deployment on loopback addresses, with the
-# world of world.c.  Machine N has the address 127.88.NET.N.
+# world of world.c.  Machine N has the address 127.NET.N, with NET of two numbers
+# that nothing listens on, and the ports from PORT on.
 # shellcheck shell=bash
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 bin=$root/target/review-3
 work=$(mktemp -d)
-net=$((RANDOM % 200 + 20))
-store=127.88.$net.250:8142
+port=$((RANDOM % 800 * 10 + 20000))
+while
+  net=$((RANDOM % 200 + 20)).$((RANDOM % 200 + 20))
+  (exec 9<>"/dev/tcp/127.$net.250/$((port + 2))") 2>/dev/null
+do :; done
+store=127.$net.250:$((port + 2))
 pids=()
 declare -A node_pid
 
@@ -30,16 +35,16 @@
 # As the deploy file's template is filled in for machine N beside a target of
 # SERVICE.
 write_settings () { # write_settings N SERVICE ZONE
-  local ip=127.88.$net.$1
+  local ip=127.$net.$1
   sed -e "s|{{node_name}}|sidecar-hall-$1|" -e "s|{{region}}|coast|" \
     -e "s|{{zone}}|$3|" -e "s|{{service_name}}|$2|" \
     -e "s|{{bounds}}|$bounds|" -e "s|{{limits.link_mbps}}|1000.0|" \
     -e "s|{{limits.cpu_share}}|0.2|" -e "s|{{limits.memory_mb}}|260|" \
-    -e "s|{{listen_addrs.outbound}}|$ip:8147|" \
-    -e "s|{{listen_addrs.ready}}|$ip:8141|" \
-    -e "s|{{listen_addrs.control}}|$ip:8144|" -e "s|{{ip}}|$ip|" \
-    -e "s|{{port_range.0}}|7380|" -e "s|{{port_range.1}}|7381|" \
-    -e "s|{{app_addr}}|$ip:8145|" -e "s|{{platform.address}}|$store|" \
+    -e "s|{{listen_addrs.outbound}}|$ip:$((port + 7))|" \
+    -e "s|{{listen_addrs.ready}}|$ip:$((port + 1))|" \
+    -e "s|{{listen_addrs.control}}|$ip:$((port + 4))|" -e "s|{{ip}}|$ip|" \
+    -e "s|{{port_range.0}}|$((port + 8))|" -e "s|{{port_range.1}}|$((port + 9))|" \
+    -e "s|{{app_addr}}|$ip:$((port + 5))|" -e "s|{{platform.address}}|$store|" \
     "$root/deploy/settings.yaml" >"$work/node$1.yaml"
 }
 
@@ -58,7 +63,7 @@
     service=${machine%@*}
     [ "$service" = stock ] && keyed=yes
     write_settings $n "$service" "$([ "$service" = "$machine" ] && echo hall || echo "${machine#*@}")"
-    targets+=("$later$service,$keyed,127.88.$net.$n:8145,127.88.$net.$n:8144,127.88.$net.$n:8147")
+    targets+=("$later$service,$keyed,127.$net.$n:$((port + 5)),127.$net.$n:$((port + 4)),127.$net.$n:$((port + 7))")
   done
   "$bin"/world "$here/record.txt" "$store" "${targets[@]}" >"$work/world.out" 2>"$work/world.log" &
   pids+=($!)
@@ -104,7 +109,7 @@
 }
 
 is_ready () { # is_ready N
-  [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://127.88.$net.$1:8141/-/ready")" = 200 ]
+  [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://127.$net.$1:$((port + 1))/-/ready")" = 200 ]
 }
 
 wait_ready () { # wait_ready N
@@ -138,7 +143,7 @@
   for key in 0 9000 20000 33000 45000 56000 65535; do
     [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: clinic.example' \
       -H "Crocusbend-Attempt-Id: s$RANDOM$RANDOM" -H 'Crocusbend-Timeout-Ms: 1500' \
-      -H "Crocusbend-Shard-Key: $key" "http://127.88.$net.$1:8147/stock/start")" = 200 ] || return 1
+      -H "Crocusbend-Shard-Key: $key" "http://127.$net.$1:$((port + 7))/stock/start")" = 200 ] || return 1
   done
 }
 
