--- a/review/standin-3/lib.sh
+++ b/review/standin-3/lib.sh
@@ -13,11 +13,13 @@
   (exec 9<>"/dev/tcp/127.$net.250/$((port + 2))") 2>/dev/null
 do :; done
 store=127.$net.250:$((port + 2))
-pids=()
 declare -A node_pid
 
 finish () {
-  [ ${#pids[@]} -eq 0 ] || kill -9 "${pids[@]}" 2>/dev/null
+  local left
+  left=$(jobs -p)
+  # shellcheck disable=SC2086
+  [ -z "$left" ] || kill -9 $left 2>/dev/null
   wait 2>/dev/null
   [ -n "${KEEP_LOGS:-}" ] && cp "$work"/*.log "$KEEP_LOGS"/
   rm -rf "$work"
@@ -66,7 +68,6 @@
     targets+=("$later$service,$keyed,127.$net.$n:$((port + 5)),127.$net.$n:$((port + 4)),127.$net.$n:$((port + 7))")
   done
   "$bin"/world "$here/record.txt" "$store" "${targets[@]}" >"$work/world.out" 2>"$work/world.log" &
-  pids+=($!)
   for _ in $(seq 100); do
     grep -q ready "$work/world.out" && return
     sleep 0.05
@@ -81,7 +82,6 @@
 start_node () { # start_node N
   (cd "$root" && exec target/crocusbend mesh "$work/node$1.yaml") >>"$work/node$1.log" 2>&1 &
   node_pid[$1]=$!
-  pids+=($!)
 }
 
 # A planned stop of node N: it is killed after the grace period.
